--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,44 @@
+import tseslint from "typescript-eslint";
+
+const bareErrors = ["Error", "TypeError", "RangeError"].map(name => ({
+    selector: `NewExpression[callee.name="${name}"]`,
+    message: "Throw a class from src/errors: every failure has a type.",
+}));
+
+export default tseslint.config(
+    { ignores: ["dist/", "dist/", "src/generated/", "node_modules/", "coverage/", "*.cjs", "*.js"] },
+    tseslint.configs.recommendedTypeChecked,
+    {
+        languageOptions: { parserOptions: { projectService: true } },
+        rules: {
+            "curly": ["error", "all"],
+            "eqeqeq": "error",
+            "prefer-const": "error",
+            "no-var": "error",
+            "max-lines": ["error", { max: 400, skipBlankLines: false, skipComments: false }],
+            "no-restricted-syntax": [
+                "error",
+                { selector: "TSEnumDeclaration", message: "Use a constant object in place of an enum." },
+                ...bareErrors,
+            ],
+            "@typescript-eslint/naming-convention": [
+                "error",
+                { selector: "typeLike", format: ["PascalCase"] },
+                { selector: "function", format: ["camelCase"] },
+                { selector: "method", format: ["camelCase"] },
+                { selector: "interface", format: ["PascalCase"], custom: { regex: "^I[A-Z]", match: false } },
+            ],
+            "@typescript-eslint/consistent-type-imports": "error",
+            "@typescript-eslint/no-unused-vars": ["error", { argsIgnorePattern: "^_", varsIgnorePattern: "^_" }],
+            "@typescript-eslint/require-await": "off",
+        },
+    },
+    {
+        files: ["test/**/*.ts", "bench/**/*.ts"],
+        rules: {
+            "max-lines": ["error", { max: 600 }],
+            "no-restricted-syntax": "off",
+            "@typescript-eslint/unbound-method": "off",
+        },
+    },
+);
--- /dev/null
+++ b/src/domain/layers.ts
@@ -0,0 +1,24 @@
+/** Ranges of model layers. */
+
+/** A run of consecutive layers; both ends belong to it. */
+export interface LayerRange {
+    readonly first: number;
+    readonly last: number;
+}
+
+/** The number of layers in a range. */
+export function layerCount(range: LayerRange): number {
+    return range.last - range.first + 1;
+}
+
+export function layerRangesEqual(left: LayerRange, right: LayerRange): boolean {
+    return left.first === right.first && left.last === right.last;
+}
+
+export function containsRange(outer: LayerRange, inner: LayerRange): boolean {
+    return outer.first <= inner.first && inner.last <= outer.last;
+}
+
+export function formatLayerRange(range: LayerRange): string {
+    return `${range.first}-${range.last}`;
+}
--- /dev/null
+++ b/src/errors/index.ts
@@ -0,0 +1,6 @@
+/** The registry of error classes, one file for each area. Importing this module defines every error. */
+export * from "./connection-errors.js";
+export * from "./general-errors.js";
+export * from "./platform-errors.js";
+export * from "./pomelostall-error.js";
+export * from "./request-errors.js";
--- /dev/null
+++ b/src/errors/platform-errors.ts
@@ -0,0 +1,33 @@
+/** Errors of the platform's services. */
+import { defineError, PomelostallError } from "./pomelostall-error.js";
+
+const platformUnavailableDefinition = defineError({
+    code: "platform-unavailable",
+    title: "The platform's service cannot be used",
+    hint: "Routing goes on with the configuration in force. Keyed bookings are refused until the service answers.",
+    status: 503,
+});
+
+/** A call to the platform failed or timed out. */
+export class PlatformUnavailableError extends PomelostallError {
+    /** Whether a write may have taken effect although it failed. */
+    readonly mayHaveTakenEffect: boolean;
+
+    constructor(message: string, mayHaveTakenEffect: boolean, cause?: unknown) {
+        super(platformUnavailableDefinition, message, { cause });
+        this.mayHaveTakenEffect = mayHaveTakenEffect;
+    }
+}
+
+const leaseLostDefinition = defineError({
+    code: "lease-lost",
+    title: "The lease has lapsed",
+    hint: "Another router may hold it now. The router goes on serving and tries to take the lease again.",
+});
+
+/** A lease that lapsed or was revoked. */
+export class LeaseLostError extends PomelostallError {
+    constructor(leaseId: string) {
+        super(leaseLostDefinition, `Lease ${leaseId} has lapsed.`);
+    }
+}
--- /dev/null
+++ b/src/errors/request-errors.ts
@@ -0,0 +1,162 @@
+/** Errors that a caller of the HTTP interface can receive. */
+import { defineError, Outcome, PomelostallError } from "./pomelostall-error.js";
+
+const badRequestDefinition = defineError({
+    code: "bad-request",
+    title: "The request is malformed",
+    hint: "Correct the field named in the message and send the request again.",
+    status: 400,
+});
+
+/** A request that cannot be parsed or fails its schema. */
+export class BadRequestError extends PomelostallError {
+    constructor(message: string, cause?: unknown) {
+        super(badRequestDefinition, message, { outcome: Outcome.notRun, cause });
+    }
+}
+
+const unauthorizedDefinition = defineError({
+    code: "unauthorized",
+    title: "The key is missing or unknown",
+    hint: "Send the customer's key as 'Authorization: Bearer KEY'.",
+    status: 401,
+});
+
+/** A request without a known customer key. */
+export class UnauthorizedError extends PomelostallError {
+    constructor() {
+        super(unauthorizedDefinition, "The request names no known customer key.", { outcome: Outcome.notRun });
+    }
+}
+
+const notFoundDefinition = defineError({
+    code: "not-found",
+    title: "There is nothing at this path",
+    hint: "See docs/API.md for the paths that are served.",
+    status: 404,
+});
+
+/** A path, model or service that does not exist. */
+export class NotFoundError extends PomelostallError {
+    constructor(message: string) {
+        super(notFoundDefinition, message, { outcome: Outcome.notRun });
+    }
+}
+
+const bodyTooLargeDefinition = defineError({
+    code: "body-too-large",
+    title: "The request body is too large",
+    hint: "Send a shorter prompt, or raise limits.maximumBodyBytes in the settings.",
+    status: 413,
+});
+
+/** A body over the configured limit. */
+export class BodyTooLargeError extends PomelostallError {
+    constructor(maximumBytes: number) {
+        super(bodyTooLargeDefinition, `The request body is over ${maximumBytes} bytes.`, { outcome: Outcome.notRun });
+    }
+}
+
+const requestTimeoutDefinition = defineError({
+    code: "request-timeout",
+    title: "The request was not received in time",
+    hint: "Send the headers and the body without long pauses.",
+    status: 408,
+});
+
+/** A caller that sends its request too slowly. */
+export class RequestTimeoutError extends PomelostallError {
+    constructor() {
+        super(requestTimeoutDefinition, "The request was not received in time.", { outcome: Outcome.notRun });
+    }
+}
+
+const limitExceededDefinition = defineError({
+    code: "limit-exceeded",
+    title: "The customer's limit is used up",
+    hint: "Wait for the time given in Retry-After, or ask the operator to raise the customer's limit.",
+    status: 429,
+});
+
+/** The customer's queue or token limit is full. */
+export class LimitExceededError extends PomelostallError {
+    constructor(customer: string, retryAfterSeconds: number) {
+        super(limitExceededDefinition, `Customer ${customer} is over its limit.`, {
+            outcome: Outcome.notRun,
+            retryAfterSeconds,
+        });
+    }
+}
+
+const deadlineDefinition = defineError({
+    code: "deadline-unreachable",
+    title: "The deadline cannot be met",
+    hint: "Send the request again after the time given in Retry-After, or with a longer deadline.",
+    status: 503,
+});
+
+/** The expected queueing and run time exceed the deadline, so the request was refused before it started. */
+export class DeadlineUnreachableError extends PomelostallError {
+    constructor(retryAfterSeconds: number) {
+        super(deadlineDefinition, "The request cannot be answered before its deadline.", {
+            outcome: Outcome.notRun,
+            retryAfterSeconds,
+        });
+    }
+}
+
+const noPipelineDefinition = defineError({
+    code: "no-pipeline",
+    title: "No pipeline holds every layer of the model",
+    hint: "See 'pomelostall status' for the backend servers in use and 'pomelostall placement show' for their layers.",
+    status: 503,
+});
+
+/** No set of usable backend servers tiles the model's layers. */
+export class NoPipelineError extends PomelostallError {
+    constructor(model: string, outcome: Outcome = Outcome.notRun) {
+        super(noPipelineDefinition, `No usable pipeline for model ${model}.`, { outcome, retryAfterSeconds: 1 });
+    }
+}
+
+const drainingDefinition = defineError({
+    code: "router-draining",
+    title: "This router is shutting down",
+    hint: "Send the request again; the balancer will pick another router.",
+    status: 503,
+});
+
+/** The router takes no new work because it is shutting down. */
+export class RouterDrainingError extends PomelostallError {
+    constructor() {
+        super(drainingDefinition, "This router is shutting down.", { outcome: Outcome.notRun, retryAfterSeconds: 1 });
+    }
+}
+
+const answerFailedDefinition = defineError({
+    code: "answer-failed",
+    title: "The answer could not be finished",
+    hint: "Send the request again. The message names the last failure.",
+    status: 502,
+});
+
+/** Every allowed attempt failed, or the deadline passed mid-answer. */
+export class AnswerFailedError extends PomelostallError {
+    constructor(message: string, outcome: Outcome, cause?: unknown) {
+        super(answerFailedDefinition, message, { outcome, cause });
+    }
+}
+
+const deadlineExceededDefinition = defineError({
+    code: "deadline-exceeded",
+    title: "The deadline passed",
+    hint: "Send the request with a longer X-Request-Timeout-Ms.",
+    status: 504,
+});
+
+/** The caller's deadline passed before the answer was whole. */
+export class DeadlineExceededError extends PomelostallError {
+    constructor(outcome: Outcome) {
+        super(deadlineExceededDefinition, "The request's deadline passed.", { outcome });
+    }
+}
--- /dev/null
+++ b/src/index.ts
@@ -0,0 +1,2 @@
+/** The public entry of the library. */
+export * from "./errors/index.js";
