--- a/src/request/pipeline-choice/types.ts
+++ b/src/request/pipeline-choice/types.ts
@@ -44,8 +44,4 @@
     choose(request: PipelineRequest): PipelineChoice;
 }
 
-/** Counts work that this router has under way on each backend server. */
-export interface InFlightLedger {
-    /** Counts the plan's work until the result is called. */
-    begin(plan: PipelinePlan, tokens: number): () => void;
-}
+export type { InFlightLedger } from "../../domain/in-flight-ledger.js";
--- /dev/null
+++ b/test/support/pipelines.ts
@@ -0,0 +1,49 @@
+/** Small models, servers and links for tests of pipelines. */
+import type { ModelDescription } from "../../src/domain/model.js";
+import type { LinkCost, Location, Topology } from "../../src/domain/topology.js";
+import type { PipelineServer } from "../../src/version/pipeline-graph/types.js";
+
+export function model(layerTotal: number, name = "model"): ModelDescription {
+    return {
+        name,
+        version: "1",
+        layerTotal,
+        layerBytes: 1e8,
+        activationBytes: 8192,
+        cacheBytesPerTokenLayer: 4096,
+        adapters: [],
+        maximumTokens: 4096,
+    };
+}
+
+export function location(availabilityZone: string, region = "region"): Location {
+    return { region, availabilityZone };
+}
+
+export function server(
+    id: string,
+    availabilityZone: string,
+    [first, last]: readonly [number, number],
+    layerTokensPerSecond = 1000,
+): PipelineServer {
+    return {
+        id,
+        address: `http://127.0.0.1/${id}`,
+        location: location(availabilityZone),
+        layers: { first, last },
+        adapters: [],
+        role: "mixed",
+        layerTokensPerSecond,
+    };
+}
+
+/** Links by "from>to" of availability zones; within one a fast link, and otherwise the given one. */
+export function fixedTopology(links: Readonly<Record<string, LinkCost>>, otherwise: LinkCost): Topology {
+    const local = { latencyMilliseconds: 0, bytesPerSecond: 1e15 };
+    return {
+        link: (from, to) =>
+            from.availabilityZone === to.availabilityZone
+                ? local
+                : links[`${from.availabilityZone}>${to.availabilityZone}`] ?? otherwise,
+    };
+}
