--- a/src/errors/index.ts
+++ b/src/errors/index.ts
@@ -1,6 +1,8 @@
 /** The registry of error classes, one file for each area. Importing this module defines every error. */
 export * from "./connection-errors.js";
 export * from "./general-errors.js";
+export * from "./operator-errors.js";
 export * from "./platform-errors.js";
 export * from "./pomelostall-error.js";
 export * from "./request-errors.js";
+export * from "./settings-errors.js";
--- /dev/null
+++ b/src/process/settings/describe-settings.ts
@@ -0,0 +1,116 @@
+/** The settings as documentation: a table for docs/SETTINGS.md and a commented sample file, both from the schema. */
+import { z } from "zod";
+import { routerSettingsSchema } from "./schema.js";
+
+/** What is used of a JSON schema. */
+interface FieldSchema {
+    readonly type?: string;
+    readonly description?: string;
+    readonly default?: unknown;
+    readonly enum?: readonly unknown[];
+    readonly minimum?: number;
+    readonly maximum?: number;
+    readonly properties?: Readonly<Record<string, FieldSchema>>;
+    readonly required?: readonly string[];
+}
+
+/** Values for required fields in the sample. */
+const sampleValues: Readonly<Record<string, unknown>> = {
+    "router.id": "router-perth-1",
+    "router.region": "perth",
+    "router.availabilityZone": "perth-a",
+    "platform.keyValueAddresses": ["http://127.0.0.1:2379"],
+    "platform.vmListAddress": "http://127.0.0.1:2380/v1/vms",
+};
+
+const indent = "    ";
+
+function settingsSchema(): FieldSchema {
+    return z.toJSONSchema(routerSettingsSchema, { io: "input" }) as FieldSchema;
+}
+
+/** The body of docs/SETTINGS.md. */
+export function describeSettings(): string {
+    const rows: string[] = [];
+    collectRows(settingsSchema(), "", rows);
+    return [
+        "# Settings",
+        "",
+        "Made from src/process/settings/schema.ts by `npm run docs:generate`.",
+        "",
+        "A router reads one file of JSON with comments, `pomelostall router --settings FILE`. It holds what a process must",
+        "know before it can reach anything else; what may change while it runs is in the sheet (docs/SHEET.md).",
+        "`pomelostall settings check FILE` reports every fault with its line and column, and `pomelostall settings sample`",
+        "prints a commented file to start from.",
+        "",
+        "| field | values | default | meaning |",
+        "| --- | --- | --- | --- |",
+        ...rows,
+        "",
+    ].join("\n");
+}
+
+function collectRows(schema: FieldSchema, prefix: string, rows: string[]): void {
+    for (const [name, field] of Object.entries(schema.properties ?? {})) {
+        const path = prefix === "" ? name : `${prefix}.${name}`;
+        if (field.properties !== undefined) {
+            rows.push(`| **${path}** | object | | ${field.description ?? ""} |`);
+            collectRows(field, path, rows);
+            continue;
+        }
+        const required = schema.required?.includes(name) === true;
+        const fallback = field.default === undefined
+            ? (required ? "required" : "none")
+            : `\`${JSON.stringify(field.default)}\``;
+        rows.push(`| ${path} | ${describeValues(field)} | ${fallback} | ${field.description ?? ""} |`);
+    }
+}
+
+function describeValues(field: FieldSchema): string {
+    if (field.enum !== undefined) {
+        return field.enum.map(value => `\`${String(value)}\``).join(", ");
+    }
+    const minimum = field.minimum === undefined ? "" : ` from ${field.minimum}`;
+    const maximum = field.maximum === undefined || field.maximum === Number.MAX_SAFE_INTEGER
+        ? ""
+        : ` to ${field.maximum}`;
+    return `${field.type ?? "any"}${minimum}${maximum}`;
+}
+
+/** A commented settings file that passes the schema; optional fields without a default are commented out. */
+export function renderSampleSettings(): string {
+    return [
+        "// Settings of one pomelostall router. Fields with a default may be left out.",
+        ...renderObject(settingsSchema(), "", ""),
+        "",
+    ]
+        .join("\n");
+}
+
+function renderObject(schema: FieldSchema, prefix: string, margin: string): string[] {
+    const inner = margin + indent;
+    const lines = [`${margin}{`];
+    for (const [name, field] of Object.entries(schema.properties ?? {})) {
+        const path = prefix === "" ? name : `${prefix}.${name}`;
+        lines.push(`${inner}// ${field.description ?? name}`);
+        lines.push(...renderField(name, field, path, inner, isOmitted(schema, name, field)));
+    }
+    lines.push(`${margin}}`);
+    return lines;
+}
+
+function renderField(name: string, field: FieldSchema, path: string, margin: string, omitted: boolean): string[] {
+    if (field.properties === undefined) {
+        const value = sampleValues[path] ?? field.default ?? "";
+        return [`${margin}${omitted ? "// " : ""}"${name}": ${JSON.stringify(value)},`];
+    }
+    const [, ...rest] = renderObject(field, path, margin);
+    const lines = [`${margin}"${name}": {`, ...rest.slice(0, -1), `${margin}},`];
+    return omitted ? lines.map(line => `${margin}// ${line.slice(margin.length)}`) : lines;
+}
+
+function isOmitted(schema: FieldSchema, name: string, field: FieldSchema): boolean {
+    const hasDefault = field.default !== undefined
+        || field.properties !== undefined && name !== "tls" && name !== "metrics";
+    return schema.required?.includes(name) !== true && !hasDefault;
+}
--- /dev/null
+++ b/src/request/chat/chat-handler.ts
@@ -0,0 +1,129 @@
+/** POST /v1/chat/completions: parse, admit, answer. */
+import { monotonicNow } from "../../common/clock.js";
+import type { Metrics } from "../../common/metrics.js";
+import type { Configuration, Customer, Route } from "../../domain/configuration.js";
+import type { ModelDescription } from "../../domain/model.js";
+import { estimatePromptTokens } from "../../domain/prefix-blocks.js";
+import { BadRequestError, NotFoundError } from "../../errors/index.js";
+import type { Admission } from "../admission/types.js";
+import type { Answer, AnswerEnd, AnswerService } from "../answer/types.js";
+import { requestDeadline } from "../http/deadline.js";
+import { type BodyLimits, parseJsonBody, readBody } from "../http/read-body.js";
+import type { CallerExchange } from "../http/types.js";
+import { StreamedAnswerWriter, WholeAnswerWriter } from "./answer-writers.js";
+import { type ChatRequest, parseChatRequest } from "./parse-chat-request.js";
+
+export interface ChatHandlerOptions {
+    readonly bodyLimits: BodyLimits;
+    readonly maximumTimeoutMilliseconds: number;
+}
+
+/** What a request resolved to under the version that admitted it. */
+interface ResolvedChat {
+    readonly request: ChatRequest;
+    readonly route: Route;
+    readonly model: ModelDescription;
+    readonly maximumTokens: number;
+    readonly deadline: number;
+}
+
+export class ChatHandler {
+    constructor(
+        private readonly admission: Admission,
+        private readonly answers: AnswerService,
+        private readonly metrics: Metrics,
+        private readonly options: ChatHandlerOptions,
+    ) {}
+
+    /** Answers one request; every failure before the first byte is thrown. */
+    async handle(exchange: CallerExchange): Promise<void> {
+        const body = parseJsonBody(await readBody(exchange.request, this.options.bodyLimits));
+        const chat = this.resolve(exchange, parseChatRequest(body));
+        const promptTokens = estimatePromptTokens(chat.request.messages);
+        const ticket = await this.admission.admit({
+            requestId: exchange.requestId,
+            customer: exchange.customer,
+            route: chat.route,
+            tokens: promptTokens + chat.maximumTokens,
+            deadline: chat.deadline,
+            signal: exchange.callerGone,
+        });
+        let end: AnswerEnd | undefined;
+        try {
+            end = await this.answer(exchange, chat);
+        }
+        finally {
+            ticket.release(end === undefined ? promptTokens : end.promptTokens + end.completionTokens);
+        }
+    }
+
+    private resolve(exchange: CallerExchange, request: ChatRequest): ResolvedChat {
+        const route = findRoute(exchange.configuration, exchange.customer, request.route);
+        const model = exchange.configuration.models.get(route.model);
+        if (model === undefined) {
+            throw new NotFoundError(`Route ${route.name} names a model that does not exist.`);
+        }
+        if (request.maximumTokens !== undefined && request.maximumTokens > model.maximumTokens) {
+            throw new BadRequestError(`max_tokens is over the model's ${model.maximumTokens}.`);
+        }
+        return {
+            request,
+            route,
+            model,
+            maximumTokens: request.maximumTokens ?? model.maximumTokens,
+            deadline: requestDeadline(
+                exchange.request,
+                exchange.startedAt,
+                route.defaultTimeoutMilliseconds,
+                this.options.maximumTimeoutMilliseconds,
+            ),
+        };
+    }
+
+    private async answer(exchange: CallerExchange, chat: ResolvedChat): Promise<AnswerEnd | undefined> {
+        const answer = this.answers.start({
+            requestId: exchange.requestId,
+            configuration: exchange.configuration,
+            route: chat.route,
+            model: chat.model,
+            messages: chat.request.messages,
+            maximumTokens: chat.maximumTokens,
+            deadline: chat.deadline,
+        });
+        const cancel = () => answer.cancel();
+        exchange.callerGone.addEventListener("abort", cancel);
+        try {
+            return await this.writeAnswer(exchange, chat, answer);
+        }
+        finally {
+            exchange.callerGone.removeEventListener("abort", cancel);
+            this.metrics.timing("pomelostall.chat.duration", monotonicNow() - exchange.startedAt);
+        }
+    }
+
+    private writeAnswer(exchange: CallerExchange, chat: ResolvedChat, answer: Answer): Promise<AnswerEnd | undefined> {
+        const header = {
+            requestId: exchange.requestId,
+            model: chat.request.route,
+            created: Math.floor(Date.now() / 1000),
+        };
+        const writer = chat.request.stream
+            ? new StreamedAnswerWriter(header, chat.request.includeUsage, this.metrics, exchange.startedAt)
+            : new WholeAnswerWriter(header);
+        return writer.write(answer, exchange.response);
+    }
+}
+
+/** The named route, if the customer may use it. Throws NotFoundError otherwise, without telling the two apart. */
+function findRoute(configuration: Configuration, customer: Customer, name: string): Route {
+    const route = configuration.routes.get(name);
+    if (route === undefined || !mayUse(route.customers, customer)) {
+        throw new NotFoundError(`The model '${name}' does not exist or is not offered to this customer.`);
+    }
+    return route;
+}
+
+/** Whether a list of customers, empty for all, holds the customer. */
+export function mayUse(customers: readonly string[], customer: Customer): boolean {
+    return customers.length === 0 || customers.includes(customer.name);
+}
--- /dev/null
+++ b/src/request/models/models-handler.ts
@@ -0,0 +1,26 @@
+/** GET /v1/models: the routes that a customer may use. */
+import { NotFoundError } from "../../errors/index.js";
+import { mayUse } from "../chat/chat-handler.js";
+import { sendJson } from "../http/error-body.js";
+import type { CallerExchange } from "../http/types.js";
+
+export class ModelsHandler {
+    list(exchange: CallerExchange): void {
+        sendJson(exchange.response, 200, { object: "list", data: usableRoutes(exchange) });
+    }
+
+    retrieve(exchange: CallerExchange, name: string): void {
+        const found = usableRoutes(exchange).find(model => model.id === name);
+        if (found === undefined) {
+            throw new NotFoundError(`The model '${name}' does not exist or is not offered to this customer.`);
+        }
+        sendJson(exchange.response, 200, found);
+    }
+}
+
+function usableRoutes(exchange: CallerExchange) {
+    const created = Math.floor(Date.parse(exchange.configuration.acceptedAt) / 1000) || 0;
+    return [...exchange.configuration.routes.values()]
+        .filter(route => mayUse(route.customers, exchange.customer))
+        .map(route => ({ id: route.name, object: "model", created, owned_by: "pomelostall" }));
+}
