Add the platform's stand-in and its HTTP clients

The routers keep everything that must last in the platform's key-value service, so tests and the demo need one that can be slow, be down, lose answers and let watches go silent. The protocol is the JSON form of the etcd v3 API, so that a real service of that protocol can stand in its place.

--- a/src/domain/platform.ts
+++ b/src/domain/platform.ts
@@ -4,6 +4,9 @@
  */
 import type { Stream } from "most";
 
+/** The largest value that the key-value service holds, in bytes. */
+export const maximumValueBytes = 1_000_000;
+
 /** A value and the revision of its last change. */
 export interface KeyValueEntry {
     readonly key: string;
--- a/src/errors/platform-errors.ts
+++ b/src/errors/platform-errors.ts
@@ -31,3 +31,16 @@
         super(leaseLostDefinition, `Lease ${leaseId} has lapsed.`);
     }
 }
+
+const valueTooLargeDefinition = defineError({
+    code: "platform-value-too-large",
+    title: "A value is over the platform's limit",
+    hint: "Report it: pomelostall splits what it stores so that no value reaches the limit.",
+});
+
+/** A value that the key-value service refuses for its size. */
+export class ValueTooLargeError extends PomelostallError {
+    constructor(key: string, bytes: number) {
+        super(valueTooLargeDefinition, `The value of ${key} has ${bytes} bytes, which is over the limit.`);
+    }
+}
--- /dev/null
+++ b/src/stand-ins/platform/index.ts
@@ -0,0 +1,6 @@
+/** The platform's stand-in: in process, and as an HTTP server. */
+export { CallCounts } from "./call-counts.js";
+export { Availability, createFaults, type PlatformFaults } from "./faults.js";
+export type { StoreSnapshot } from "./key-value-store.js";
+export { PlatformServer } from "./platform-server.js";
+export { StandInPlatform } from "./stand-in-platform.js";
--- /dev/null
+++ b/src/stand-ins/platform/key-value-store.ts
@@ -0,0 +1,201 @@
+/** The stand-in platform's data: entries with revisions, leases that lapse on the runtime's clock, and watchers. */
+import {
+    type KeyCondition,
+    type KeyValueEntry,
+    type KeyWrite,
+    maximumValueBytes,
+    type Transaction,
+    type TransactionResult,
+    type WatchEvent,
+} from "../../domain/platform.js";
+import { LeaseLostError, ValueTooLargeError } from "../../errors/index.js";
+
+/** Events that are kept for watchers that start at an old revision. */
+const maximumHistoryEvents = 10_000;
+
+/** A copy of all entries at one revision. */
+export interface StoreSnapshot {
+    readonly entries: ReadonlyMap<string, KeyValueEntry>;
+    readonly revision: number;
+}
+
+/** Someone who waits for changes under a prefix. */
+export interface Watcher {
+    readonly prefix: string;
+    /** A silent watcher stays open and receives nothing more. */
+    silent: boolean;
+    receive(event: WatchEvent): void;
+}
+
+interface Lease {
+    readonly timeToLiveMilliseconds: number;
+    readonly keys: Set<string>;
+    timer: ReturnType<typeof setTimeout>;
+}
+
+/** Entries, leases and watchers, changed synchronously. */
+export class KeyValueStore {
+    private entries = new Map<string, KeyValueEntry>();
+    private revisionNumber = 1;
+    private history: WatchEvent[] = [];
+    private readonly leases = new Map<string, Lease>();
+    private readonly leaseOfKey = new Map<string, string>();
+    private readonly watchers = new Set<Watcher>();
+    private leaseTotal = 0;
+
+    get revision(): number {
+        return this.revisionNumber;
+    }
+
+    get watcherTotal(): number {
+        return this.watchers.size;
+    }
+
+    snapshot(): StoreSnapshot {
+        return { entries: new Map(this.entries), revision: this.revisionNumber };
+    }
+
+    /** Loses every change since the snapshot, as a restored backup does. */
+    restore(snapshot: StoreSnapshot): void {
+        this.entries = new Map(snapshot.entries);
+        this.revisionNumber = snapshot.revision;
+        this.history = this.history.filter(event => event.entry.revision <= snapshot.revision);
+    }
+
+    transact(transaction: Transaction): TransactionResult {
+        for (const write of transaction.writes) {
+            this.checkWrite(write);
+        }
+        if (!transaction.conditions.every(condition => this.conditionHolds(condition))) {
+            return { succeeded: false, revision: this.revisionNumber };
+        }
+        if (transaction.writes.length > 0) {
+            this.revisionNumber++;
+        }
+        for (const write of transaction.writes) {
+            this.apply(write);
+        }
+        return { succeeded: true, revision: this.revisionNumber };
+    }
+
+    grantLease(timeToLiveMilliseconds: number): string {
+        const leaseId = String(++this.leaseTotal);
+        const timer = setTimeout(() => this.endLease(leaseId), timeToLiveMilliseconds);
+        this.leases.set(leaseId, { timeToLiveMilliseconds, keys: new Set(), timer });
+        return leaseId;
+    }
+
+    keepLeaseAlive(leaseId: string): number {
+        const lease = this.findLease(leaseId);
+        clearTimeout(lease.timer);
+        lease.timer = setTimeout(() => this.endLease(leaseId), lease.timeToLiveMilliseconds);
+        return lease.timeToLiveMilliseconds;
+    }
+
+    revokeLease(leaseId: string): void {
+        this.findLease(leaseId);
+        this.endLease(leaseId);
+    }
+
+    /** Adds a watcher, which first receives the changes after the given revision. */
+    watch(watcher: Watcher, afterRevision: number): () => void {
+        for (const event of this.history) {
+            if (event.entry.revision > afterRevision && event.entry.key.startsWith(watcher.prefix)) {
+                watcher.receive(event);
+            }
+        }
+        this.watchers.add(watcher);
+        return () => this.watchers.delete(watcher);
+    }
+
+    silenceWatchers(): void {
+        for (const watcher of this.watchers) {
+            watcher.silent = true;
+        }
+    }
+
+    close(): void {
+        for (const lease of this.leases.values()) {
+            clearTimeout(lease.timer);
+        }
+        this.leases.clear();
+    }
+
+    private checkWrite(write: KeyWrite): void {
+        if (write.kind !== "put") {
+            return;
+        }
+        if (write.value.byteLength > maximumValueBytes) {
+            throw new ValueTooLargeError(write.key, write.value.byteLength);
+        }
+        if (write.leaseId !== undefined) {
+            this.findLease(write.leaseId);
+        }
+    }
+
+    private conditionHolds(condition: KeyCondition): boolean {
+        return (this.entries.get(condition.key)?.revision ?? 0) === condition.revision;
+    }
+
+    private apply(write: KeyWrite): void {
+        if (write.kind === "put") {
+            const entry = { key: write.key, value: write.value.slice(), revision: this.revisionNumber };
+            this.entries.set(write.key, entry);
+            this.attachLease(write.key, write.leaseId);
+            this.announce({ kind: "put", entry });
+        }
+        else if (this.entries.delete(write.key)) {
+            this.attachLease(write.key, undefined);
+            const entry = { key: write.key, value: new Uint8Array(), revision: this.revisionNumber };
+            this.announce({ kind: "delete", entry });
+        }
+    }
+
+    private attachLease(key: string, leaseId: string | undefined): void {
+        const previous = this.leaseOfKey.get(key);
+        if (previous !== undefined) {
+            this.leases.get(previous)?.keys.delete(key);
+            this.leaseOfKey.delete(key);
+        }
+        if (leaseId !== undefined) {
+            this.findLease(leaseId).keys.add(key);
+            this.leaseOfKey.set(key, leaseId);
+        }
+    }
+
+    private findLease(leaseId: string): Lease {
+        const lease = this.leases.get(leaseId);
+        if (lease === undefined) {
+            throw new LeaseLostError(leaseId);
+        }
+        return lease;
+    }
+
+    private endLease(leaseId: string): void {
+        const lease = this.findLease(leaseId);
+        clearTimeout(lease.timer);
+        this.leases.delete(leaseId);
+        const writes: KeyWrite[] = [...lease.keys].map(key => ({ kind: "delete", key }));
+        this.transact({ conditions: [], writes });
+    }
+
+    private announce(event: WatchEvent): void {
+        this.history.push(event);
+        if (this.history.length > maximumHistoryEvents) {
+            this.history = this.history.slice(-maximumHistoryEvents / 2);
+        }
+        for (const watcher of [...this.watchers]) {
+            if (!watcher.silent && event.entry.key.startsWith(watcher.prefix)) {
+                watcher.receive(event);
+            }
+        }
+    }
+}
+
+/** The entries of a snapshot whose keys start with the prefix, in key order. */
+export function selectPrefix(snapshot: StoreSnapshot, prefix: string, maximumEntries?: number): KeyValueEntry[] {
+    return [...snapshot.entries.values()]
+        .filter(entry => entry.key.startsWith(prefix))
+        .sort((left, right) => left.key < right.key ? -1 : 1)
+        .slice(0, maximumEntries);
+}
--- /dev/null
+++ b/src/stand-ins/platform/platform-server.ts
@@ -0,0 +1,214 @@
+/** Serves a StandInPlatform over HTTP: the etcd v3 JSON subset of docs/PLATFORM.md, and the VM list. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import type { Managed } from "../../common/life-cycle.js";
+import {
+    decodeBytes,
+    decodeKey,
+    encodeBytes,
+    encodeKey,
+    type EtcdCompare,
+    type EtcdKeyValue,
+    type EtcdLeaseRequest,
+    type EtcdOperation,
+    etcdPaths,
+    type EtcdRangeRequest,
+    type EtcdTransactionRequest,
+    type EtcdWatchRequest,
+    vmListPath,
+} from "../../domain/etcd-protocol.js";
+import type { KeyValueEntry, KeyWrite } from "../../domain/platform.js";
+import { LeaseLostError, PlatformUnavailableError, ValueTooLargeError } from "../../errors/index.js";
+import type { StandInPlatform } from "./stand-in-platform.js";
+
+/** Longest time of one call inside the server; clients give up sooner. */
+const callTimeoutMilliseconds = 60_000;
+const maximumRequestBytes = 8_000_000;
+const millisecondsPerSecond = 1_000;
+
+const grpcInvalidArgument = 3;
+const grpcNotFound = 5;
+
+type Handler = (body: unknown, response: ServerResponse) => Promise<unknown>;
+
+/** An HTTP server for one StandInPlatform, on 127.0.0.1 unless told otherwise. */
+export class PlatformServer implements Managed {
+    readonly name = "stand-in platform";
+    private readonly server: Server;
+    private readonly handlers: ReadonlyMap<string, Handler>;
+
+    constructor(
+        private readonly platform: StandInPlatform,
+        private readonly port = 0,
+        private readonly host = "127.0.0.1",
+    ) {
+        this.server = createServer((request, response) => void this.handle(request, response));
+        this.handlers = new Map<string, Handler>([
+            [etcdPaths.range, body => this.range(body as EtcdRangeRequest)],
+            [etcdPaths.transaction, body => this.transact(body as EtcdTransactionRequest)],
+            [etcdPaths.leaseGrant, body => this.grantLease(body as EtcdLeaseRequest)],
+            [etcdPaths.leaseKeepAlive, body => this.keepLeaseAlive(body as EtcdLeaseRequest)],
+            [etcdPaths.leaseRevoke, body => this.revokeLease(body as EtcdLeaseRequest)],
+            [etcdPaths.watch, (body, response) => this.watch(body as EtcdWatchRequest, response)],
+            [vmListPath, async () => ({ vms: await this.platform.listVms(callTimeoutMilliseconds) })],
+        ]);
+    }
+
+    /** Base URL; known after start. */
+    get address(): string {
+        return `http://${this.host}:${(this.server.address() as AddressInfo).port}`;
+    }
+
+    start(): Promise<void> {
+        return new Promise((resolve, reject) => {
+            this.server.once("error", reject);
+            this.server.listen(this.port, this.host, resolve);
+        });
+    }
+
+    stop(): Promise<void> {
+        return new Promise(resolve => {
+            this.server.close(() => resolve());
+            this.server.closeAllConnections();
+        });
+    }
+
+    private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        try {
+            const handler = this.handlers.get(request.url ?? "");
+            if (handler === undefined) {
+                sendJson(response, 404, { code: grpcNotFound, message: "no such path" });
+                return;
+            }
+            const body = request.method === "GET" ? undefined : await readJson(request);
+            const answer = await handler(body, response);
+            if (answer !== undefined) {
+                sendJson(response, 200, answer);
+            }
+        }
+        catch (error) {
+            sendFailure(response, error);
+        }
+    }
+
+    private async range(request: EtcdRangeRequest): Promise<unknown> {
+        const key = decodeKey(request.key);
+        const entries = request.range_end === undefined
+            ? [await this.platform.get(key, callTimeoutMilliseconds)].filter(entry => entry !== undefined)
+            : await this.platform.list(
+                key,
+                callTimeoutMilliseconds,
+                request.limit === undefined ? undefined : Number(request.limit),
+            );
+        return { header: this.header(), kvs: entries.map(formatEntry), count: String(entries.length) };
+    }
+
+    private async transact(request: EtcdTransactionRequest): Promise<unknown> {
+        const transaction = {
+            conditions: (request.compare ?? []).map(parseCompare),
+            writes: (request.success ?? []).map(parseOperation),
+        };
+        const result = await this.platform.transact(transaction, callTimeoutMilliseconds);
+        return { header: { revision: String(result.revision) }, ...(result.succeeded ? { succeeded: true } : {}) };
+    }
+
+    private async grantLease(request: EtcdLeaseRequest): Promise<unknown> {
+        const milliseconds = Number(request.TTL) * millisecondsPerSecond;
+        return { ID: await this.platform.grantLease(milliseconds, callTimeoutMilliseconds), TTL: request.TTL };
+    }
+
+    private async keepLeaseAlive(request: EtcdLeaseRequest): Promise<unknown> {
+        try {
+            await this.platform.keepLeaseAlive(request.ID ?? "", callTimeoutMilliseconds);
+            return { result: { header: this.header(), ID: request.ID, TTL: "1" } };
+        }
+        catch (error) {
+            if (error instanceof LeaseLostError) {
+                return { result: { header: this.header(), ID: request.ID } };
+            }
+            throw error;
+        }
+    }
+
+    private async revokeLease(request: EtcdLeaseRequest): Promise<unknown> {
+        await this.platform.revokeLease(request.ID ?? "", callTimeoutMilliseconds);
+        return { header: this.header() };
+    }
+
+    private async watch(request: EtcdWatchRequest, response: ServerResponse): Promise<undefined> {
+        const { key, start_revision: startRevision } = request.create_request;
+        const afterRevision = startRevision === undefined ? this.platform.revision : Number(startRevision) - 1;
+        response.writeHead(200, { "content-type": "application/json" });
+        const send = (result: object) => response.write(`${JSON.stringify({ result })}\n`);
+        send({ header: this.header(), created: true });
+        const subscription = this.platform.watch(decodeKey(key), afterRevision).subscribe({
+            next: event =>
+                void send({
+                    header: this.header(),
+                    events: [{
+                        ...(event.kind === "delete" ? { type: "DELETE" } : {}),
+                        kv: formatEntry(event.entry),
+                    }],
+                }),
+            error: () => response.destroy(),
+            complete: () => response.end(),
+        });
+        response.once("close", () => subscription.unsubscribe());
+        return undefined;
+    }
+
+    private header(): { revision: string; } {
+        return { revision: String(this.platform.revision) };
+    }
+}
+
+function formatEntry(entry: KeyValueEntry): EtcdKeyValue {
+    return {
+        key: encodeKey(entry.key),
+        value: encodeBytes(entry.value),
+        mod_revision: String(entry.revision),
+    };
+}
+
+function parseCompare(compare: EtcdCompare): { key: string; revision: number; } {
+    return { key: decodeKey(compare.key), revision: Number(compare.mod_revision) };
+}
+
+function parseOperation(operation: EtcdOperation): KeyWrite {
+    if (operation.request_put !== undefined) {
+        const { key, value, lease } = operation.request_put;
+        return { kind: "put", key: decodeKey(key), value: decodeBytes(value), leaseId: lease };
+    }
+    return { kind: "delete", key: decodeKey(operation.request_delete_range?.key ?? "") };
+}
+
+async function readJson(request: IncomingMessage): Promise<unknown> {
+    const chunks: Buffer[] = [];
+    let length = 0;
+    for await (const chunk of request) {
+        length += (chunk as Buffer).length;
+        if (length > maximumRequestBytes) {
+            throw new ValueTooLargeError("request", length);
+        }
+        chunks.push(chunk as Buffer);
+    }
+    return JSON.parse(Buffer.concat(chunks).toString("utf8")) as unknown;
+}
+
+function sendJson(response: ServerResponse, status: number, body: unknown): void {
+    response.writeHead(status, { "content-type": "application/json" });
+    response.end(JSON.stringify(body));
+}
+
+/** A platform that is down, or that loses its answer, breaks the connection. */
+function sendFailure(response: ServerResponse, error: unknown): void {
+    if (error instanceof PlatformUnavailableError || response.headersSent) {
+        response.destroy();
+    }
+    else if (error instanceof LeaseLostError) {
+        sendJson(response, 404, { code: grpcNotFound, message: "etcdserver: requested lease not found" });
+    }
+    else {
+        sendJson(response, 400, { code: grpcInvalidArgument, message: String(error) });
+    }
+}
