--- /dev/null
+++ b/src/cli/run.ts
@@ -0,0 +1,61 @@
+/** Runs one command line in a given context; tests call it as the program does. */
+import { Command, CommanderError } from "commander";
+import { OperatorUnreachableError, PlatformUnavailableError, PomelostallError } from "../errors/index.js";
+import { createDrainCommand } from "./commands/drain.js";
+import { createExplainCommand } from "./commands/explain.js";
+import { createSettingsCommand } from "./commands/settings.js";
+import { createStatusCommand } from "./commands/status.js";
+import { type CommandContext, ExitCode } from "./context.js";
+
+const commandFactories: readonly ((context: CommandContext) => Command)[] = [
+    createSettingsCommand,
+    createStatusCommand,
+    createDrainCommand,
+    createExplainCommand,
+];
+
+/** Runs the command that the arguments name; failures become messages and exit codes. */
+export async function runCommandLine(context: CommandContext, commandArguments: readonly string[]): Promise<void> {
+    try {
+        await createProgram(context).parseAsync([...commandArguments], { from: "user" });
+    }
+    catch (error) {
+        reportFailure(context, error);
+    }
+}
+
+function createProgram(context: CommandContext): Command {
+    const program = new Command("pomelostall").description(
+        "Routes requests to language-model pipelines over mixed accelerators, and to plain services",
+    );
+    for (const createCommand of commandFactories) {
+        program.addCommand(createCommand(context));
+    }
+    configureOutput(program, context);
+    return program;
+}
+
+/** Settings of commander do not pass to commands that were made elsewhere. */
+function configureOutput(command: Command, context: CommandContext): void {
+    command.exitOverride();
+    command.configureOutput({
+        writeOut: text => context.output.write(text),
+        writeErr: text => context.errorOutput.write(text),
+        getOutHasColors: () => context.color,
+        getErrHasColors: () => context.color,
+    });
+    command.commands.forEach(child => configureOutput(child, context));
+}
+
+function reportFailure(context: CommandContext, error: unknown): void {
+    if (error instanceof CommanderError) {
+        context.setExitCode(error.exitCode === 0 ? ExitCode.ok : ExitCode.usage);
+        return;
+    }
+    if (!(error instanceof PomelostallError)) {
+        throw error;
+    }
+    context.errorOutput.write(`${error.title} (${error.code})\n${error.message}\nHint: ${error.hint}\n`);
+    const unreachable = error instanceof OperatorUnreachableError || error instanceof PlatformUnavailableError;
+    context.setExitCode(unreachable ? ExitCode.unreachable : ExitCode.failure);
+}
--- a/src/errors/operator-errors.ts
+++ b/src/errors/operator-errors.ts
@@ -27,3 +27,31 @@
         super(operatorRefusedDefinition, message);
     }
 }
+
+const operatorUnauthorizedDefinition = defineError({
+    code: "operator-unauthorized",
+    title: "The operators' credential is missing or wrong",
+    hint: "Set POMELOSTALL_CREDENTIAL, or call from loopback when the settings name no credential.",
+    status: 401,
+});
+
+/** An operator's call without the right credential. */
+export class OperatorUnauthorizedError extends PomelostallError {
+    constructor() {
+        super(operatorUnauthorizedDefinition, "The operators' credential is missing or wrong.");
+    }
+}
+
+const operatorBadRequestDefinition = defineError({
+    code: "operator-bad-request",
+    title: "The operator's call is malformed",
+    hint: "Use the pomelostall command of the same version as the router.",
+    status: 400,
+});
+
+/** An operator's call to an unknown path or with a malformed body. */
+export class OperatorBadRequestError extends PomelostallError {
+    constructor(message: string, cause?: unknown) {
+        super(operatorBadRequestDefinition, message, { cause });
+    }
+}
--- /dev/null
+++ b/test/process/drain/drain-controller.test.ts
@@ -0,0 +1,35 @@
+import { describe, expect, jest, test } from "@jest/globals";
+import { SilentLogger } from "../../../src/common/logger.js";
+import { DrainController } from "../../../src/process/drain/drain-controller.js";
+
+const options = { balancerDelayMilliseconds: 2000, timeoutMilliseconds: 10_000 };
+
+describe("DrainController", () => {
+    test("serves while it is not ready, then refuses, then waits for what runs", async () => {
+        const controller = new DrainController(options, new SilentLogger());
+        const end = controller.begin();
+        let drained = false;
+        void controller.drain().then(() => drained = true);
+        expect([controller.ready, controller.accepting]).toEqual([false, true]);
+        await jest.advanceTimersByTimeAsync(2000);
+        expect(controller.accepting).toBe(false);
+        await jest.advanceTimersByTimeAsync(5000);
+        expect(drained).toBe(false);
+        end();
+        end();
+        await jest.advanceTimersByTimeAsync(0);
+        expect(drained).toBe(true);
+        expect(controller.requestsInFlight).toBe(0);
+    });
+
+    test("gives up on requests that never end", async () => {
+        const controller = new DrainController(options, new SilentLogger());
+        controller.begin();
+        let drained = false;
+        void controller.drain().then(() => drained = true);
+        await jest.advanceTimersByTimeAsync(11_999);
+        expect(drained).toBe(false);
+        await jest.advanceTimersByTimeAsync(1);
+        expect(drained).toBe(true);
+    });
+});
