Add the sheet: schema, checks, differences and two samples

Planners keep the configuration in a spreadsheet, so one CSV row describes one thing and every fault is reported at once with its row, column, what stood there and what would be accepted. docs/SHEET.md is written from the schema and a test compares them.

--- a/src/errors/index.ts
+++ b/src/errors/index.ts
@@ -6,3 +6,4 @@
 export * from "./pomelostall-error.js";
 export * from "./request-errors.js";
 export * from "./settings-errors.js";
+export * from "./sheet-errors.js";
--- /dev/null
+++ b/src/version/sheet/build-configuration.ts
@@ -0,0 +1,103 @@
+/** Builds the configuration of one version from a sheet. */
+import type { BackendServerClass } from "../../domain/backend-server.js";
+import type { VersionRecord } from "../../domain/configuration-record.js";
+import type { Configuration, Customer, PlainService, Route } from "../../domain/configuration.js";
+import type { ModelDescription } from "../../domain/model.js";
+import { parseSheet, type SheetRow } from "./parse-sheet.js";
+import { SheetTopology } from "./sheet-topology.js";
+
+const bytesPerKilobyte = 1_000;
+const bytesPerMegabyte = 1_000_000;
+const bytesPerGigabyte = 1_000_000_000;
+const millisecondsPerSecond = 1_000;
+const percent = 100;
+
+/** Rate of the weight store when the sheet gives none, in bytes a second. */
+const defaultWeightStoreBytesPerSecond = 100 * bytesPerMegabyte;
+
+/** Parses the sheet and builds the version. Throws a SheetInvalidError that lists every fault. */
+export function buildConfiguration(record: VersionRecord, sheet: string): Configuration {
+    const rows = parseSheet(sheet);
+    const megabytesPerSecond = rows["weight-store"][0]?.megabytes_per_second;
+    return {
+        ...record,
+        models: byName(rows.model.map(buildModel)),
+        routes: byName(rows.route.map(buildRoute)),
+        customers: byName(rows.customer.map(buildCustomer)),
+        services: byName(rows.service.map(buildService)),
+        backendServerClasses: byName(rows["backend-server-class"].map(buildClass)),
+        topology: new SheetTopology(rows.link),
+        weightStore: {
+            bytesPerSecond: megabytesPerSecond === undefined
+                ? defaultWeightStoreBytesPerSecond
+                : megabytesPerSecond * bytesPerMegabyte,
+        },
+    };
+}
+
+/** The configuration before the first version: nothing is served. */
+export function createEmptyConfiguration(): Configuration {
+    const record = { version: 0, pushId: "", parent: 0, author: "", acceptedAt: "" };
+    return buildConfiguration(record, "kind\n");
+}
+
+function byName<Item extends { readonly name: string; }>(items: readonly Item[]): ReadonlyMap<string, Item> {
+    return new Map(items.map(item => [item.name, item]));
+}
+
+function buildModel(row: SheetRow<"model">): ModelDescription {
+    return {
+        name: row.name,
+        version: row.version,
+        layerTotal: row.layers,
+        layerBytes: row.layer_megabytes * bytesPerMegabyte,
+        activationBytes: row.activation_kilobytes * bytesPerKilobyte,
+        cacheBytesPerTokenLayer: row.cache_bytes_per_token_layer,
+        adapters: row.adapters,
+        maximumTokens: row.maximum_tokens,
+    };
+}
+
+function buildRoute(row: SheetRow<"route">): Route {
+    return {
+        name: row.name,
+        model: row.model,
+        adapter: row.adapter,
+        priority: row.priority,
+        defaultTimeoutMilliseconds: row.timeout_seconds * millisecondsPerSecond,
+        retryShare: row.retry_percent / percent,
+        customers: row.customers,
+    };
+}
+
+function buildCustomer(row: SheetRow<"customer">): Customer {
+    return {
+        name: row.name,
+        keyHashes: row.key_hashes,
+        weight: row.weight,
+        tokensPerSecond: row.tokens_per_second,
+        burstTokens: row.burst_tokens,
+    };
+}
+
+function buildService(row: SheetRow<"service">): PlainService {
+    return {
+        name: row.name,
+        idempotentMethods: row.idempotent_methods,
+        defaultTimeoutMilliseconds: row.timeout_seconds * millisecondsPerSecond,
+        retryShare: row.retry_percent / percent,
+        customers: row.customers,
+    };
+}
+
+function buildClass(row: SheetRow<"backend-server-class">): BackendServerClass {
+    return {
+        name: row.name,
+        acceleratorKind: row.accelerator_kind,
+        acceleratorCount: row.accelerators,
+        memoryBytes: row.memory_gigabytes * bytesPerGigabyte,
+        layerTokensPerSecond: row.layer_tokens_per_second,
+        honoursFencing: row.honours_fencing,
+        checksOrders: row.checks_orders,
+    };
+}
