Carry answers through failures of backend servers

Aim: one whole answer for each chat request, each frame checked against its plan, resumed at the next position after a stage's death, a stall or a silent connection.

--- /dev/null
+++ b/src/request/answer/pipeline-answer-service.ts
@@ -0,0 +1,50 @@
+/** Answers chat requests over pipelines of backend servers, and carries them through failures. */
+import { createStream } from "../../common/streams.js";
+import { InternalError } from "../../errors/index.js";
+import { AnswerRun } from "./answer-run.js";
+import type { AnswerDependencies } from "./dependencies.js";
+import type { Answer, AnswerEvent, AnswerRequest, AnswerService } from "./types.js";
+
+/** Work on an answer begins when its events are observed; they can be observed once. */
+export class PipelineAnswerService implements AnswerService {
+    constructor(private readonly dependencies: AnswerDependencies) {}
+
+    start(request: AnswerRequest): Answer {
+        let run: AnswerRun | undefined;
+        let paused = false;
+        let cancelled = false;
+        const events = createStream<AnswerEvent>(emitter => {
+            if (run !== undefined) {
+                emitter.fail(new InternalError("An answer's events were observed twice."));
+                return () => undefined;
+            }
+            const started = new AnswerRun(request, this.dependencies, emitter);
+            run = started;
+            if (paused) {
+                started.pause();
+            }
+            if (cancelled) {
+                started.cancel();
+            }
+            else {
+                started.start();
+            }
+            return () => started.cancel();
+        });
+        return {
+            events,
+            pause: () => {
+                paused = true;
+                run?.pause();
+            },
+            resume: () => {
+                paused = false;
+                run?.resume();
+            },
+            cancel: () => {
+                cancelled = true;
+                run?.cancel();
+            },
+        };
+    }
+}
--- /dev/null
+++ b/test/request/answer/fakes.ts
@@ -0,0 +1,204 @@
+/** Scripted neighbours of the answer service: attempts whose frames a test sends by hand. */
+import { SilentLogger } from "../../../src/common/logger.js";
+import { SilentMetrics } from "../../../src/common/metrics.js";
+import { SeededRandom } from "../../../src/common/random.js";
+import { createStream, type Emitter } from "../../../src/common/streams.js";
+import type { Attempt, BackendServerConnection } from "../../../src/domain/backend-connection.js";
+import type { Configuration, Route } from "../../../src/domain/configuration.js";
+import type { AttemptRequest, EngineFrame, FailureFrame, HoldingsReport } from "../../../src/domain/engine-protocol.js";
+import type { LayerRange } from "../../../src/domain/layers.js";
+import type { ModelDescription } from "../../../src/domain/model.js";
+import { PipelinePlan } from "../../../src/domain/pipeline-plan.js";
+import { ConnectionFailedError, NoPipelineError, type PomelostallError } from "../../../src/errors/index.js";
+import type { AnswerDependencies } from "../../../src/request/answer/dependencies.js";
+import { PipelineAnswerService } from "../../../src/request/answer/pipeline-answer-service.js";
+import type { Answer, AnswerEvent, AnswerRequest } from "../../../src/request/answer/types.js";
+import type { PipelineChoice, PipelineRequest } from "../../../src/request/pipeline-choice/types.js";
+
+export const model: ModelDescription = {
+    name: "tiny",
+    version: "1",
+    layerTotal: 8,
+    layerBytes: 1,
+    activationBytes: 1,
+    cacheBytesPerTokenLayer: 1,
+    adapters: [],
+    maximumTokens: 100,
+};
+
+export const route: Route = {
+    name: "tiny",
+    model: "tiny",
+    priority: 0,
+    defaultTimeoutMilliseconds: 10_000,
+    retryShare: 0.1,
+    customers: [],
+};
+
+/** An attempt that the test plays the engine for. */
+export class ScriptedAttempt implements Attempt {
+    cancelled = false;
+    paused = false;
+    private emitter: Emitter<EngineFrame> | undefined;
+    readonly frames = createStream<EngineFrame>(emitter => {
+        this.emitter = emitter;
+        return () => undefined;
+    });
+
+    constructor(readonly request: AttemptRequest, readonly backendServer: string) {}
+
+    pause(): void {
+        this.paused = true;
+    }
+
+    resume(): void {
+        this.paused = false;
+    }
+
+    cancel(): void {
+        this.cancelled = true;
+    }
+
+    send(frame: EngineFrame): void {
+        this.emitter?.next(frame);
+    }
+
+    token(position: number, changes: { planId?: string; attemptId?: string; layers?: LayerRange[]; } = {}): void {
+        const { attemptId, planId } = this.request;
+        const layers = this.request.stages.map(stage => stage.layers);
+        this.send({ type: "token", attemptId, planId, position, text: `t${position}`, layers, ...changes });
+    }
+
+    end(count: number): void {
+        const { attemptId, planId } = this.request;
+        this.send({ type: "end", attemptId, planId, count, finishReason: "stop", promptTokens: 5 });
+        this.emitter?.complete();
+    }
+
+    failure(reason: FailureFrame["reason"], started: boolean, backendServer?: string): void {
+        const { attemptId, planId } = this.request;
+        this.send({ type: "failure", attemptId, planId, reason, started, backendServer });
+        this.emitter?.complete();
+    }
+
+    heartbeat(): void {
+        this.send({ type: "heartbeat", attemptId: this.request.attemptId });
+    }
+
+    break(failure: "refused" | "broken" | "silent", bytesWritten: boolean): void {
+        this.emitter?.fail(new ConnectionFailedError(this.backendServer, failure, bytesWritten));
+    }
+}
+
+/** Two servers for each half of the model; the first that is not excluded is chosen. */
+export class World {
+    readonly attempts: ScriptedAttempt[] = [];
+    readonly choices: PipelineRequest[] = [];
+    readonly unreachable = new Set<string>();
+    readonly blamed: string[] = [];
+    readonly leaving: string[] = [];
+    inFlight = 0;
+    expectedFirstTokenMilliseconds = 10;
+    retriesLeft = Infinity;
+    readonly dependencies: AnswerDependencies = {
+        chooser: { choose: request => this.choose(request) },
+        connections: { get: backendServer => this.connection(backendServer) },
+        ledger: {
+            begin: () => {
+                this.inFlight++;
+                return () => this.inFlight--;
+            },
+        },
+        health: {
+            ejected: () => new Set(),
+            succeeded: () => undefined,
+            failed: backendServer => this.blamed.push(backendServer),
+            draining: backendServer => this.leaving.push(backendServer),
+        },
+        retryBudgets: {
+            forRoute: () => ({ recordFirstAttempt: () => undefined, tryTake: () => this.retriesLeft-- > 0 }),
+        },
+        random: new SeededRandom(1),
+        logger: new SilentLogger(),
+        metrics: new SilentMetrics(),
+    };
+
+    get last(): ScriptedAttempt {
+        return this.attempts.at(-1)!;
+    }
+
+    private choose(request: PipelineRequest): PipelineChoice {
+        this.choices.push(request);
+        const pick = (names: string[]) => names.find(name => !request.excluded.has(name));
+        const [head, tail] = [pick(["a1", "a2", "a3"]), pick(["b1", "b2", "b3"])];
+        if (head === undefined || tail === undefined) {
+            throw new NoPipelineError(request.model.name);
+        }
+        const plan = new PipelinePlan(`plan-${this.choices.length}`, "tiny", 8, [
+            { backendServer: head, address: `http://${head}`, layers: { first: 0, last: 3 } },
+            { backendServer: tail, address: `http://${tail}`, layers: { first: 4, last: 7 } },
+        ]);
+        return {
+            plan,
+            expectedFirstTokenMilliseconds: this.expectedFirstTokenMilliseconds,
+            expectedTokenMilliseconds: 10,
+            recomputedTokens: 0,
+            considered: [],
+            reason: "first",
+        };
+    }
+
+    private connection(backendServer: string): BackendServerConnection {
+        return {
+            backendServer,
+            startAttempt: request => {
+                const attempt = new ScriptedAttempt(request, backendServer);
+                this.attempts.push(attempt);
+                return attempt;
+            },
+            readHoldings: async () => {
+                if (this.unreachable.has(backendServer)) {
+                    throw new ConnectionFailedError(backendServer, "silent", true);
+                }
+                return {} as HoldingsReport;
+            },
+        } as Partial<BackendServerConnection> as BackendServerConnection;
+    }
+}
+
+/** What a caller reads of an answer. */
+export class Caller {
+    readonly positions: number[] = [];
+    text = "";
+    end: AnswerEvent | undefined;
+    error: PomelostallError | undefined;
+    readonly answer: Answer;
+
+    constructor(world: World, changes: Partial<AnswerRequest> = {}) {
+        this.answer = new PipelineAnswerService(world.dependencies).start({
+            requestId: "request",
+            configuration: { version: 1 } as Configuration,
+            route,
+            model,
+            messages: [{ role: "user", content: "hello" }],
+            maximumTokens: 50,
+            deadline: performance.now() + 10_000,
+            ...changes,
+        });
+        this.answer.events.subscribe({
+            next: event => {
+                if (event.type === "token") {
+                    this.positions.push(event.position);
+                    this.text += event.text;
+                }
+                else {
+                    this.end = event;
+                }
+            },
+            error: error => {
+                this.error = error as PomelostallError;
+            },
+            complete: () => undefined,
+        });
+    }
+}
