Add stand-ins for model engines and plain services, and the link to backend servers

Change: StandInEngine runs without transport on the runtime's timers; StandInBackendServer and HttpStageNetwork carry it over HTTP, InProcessBackendServerConnection and InProcessStageNetwork in process. HttpBackendServerConnection reads frames from undici's dispatch handlers, gives up silent connections and replaces its pool. AttemptOptions in the domain lets work that must not be repeated ask for a fresh connection.

--- /dev/null
+++ b/src/connection/backend-server/attempt-frames.ts
@@ -0,0 +1,75 @@
+/** The frames of one attempt: checked, kept until they are observed, and ended after the closing frame. */
+import type { Stream } from "most";
+import { createStream, type Emitter } from "../../common/streams.js";
+import type { EngineFrame } from "../../domain/engine-protocol.js";
+import { ConnectionFailedError, ConnectionFailure } from "../../errors/index.js";
+
+export class AttemptFrames {
+    private readonly waiting: EngineFrame[] = [];
+    private emitter: Emitter<EngineFrame> | undefined;
+    private error: ConnectionFailedError | undefined;
+    private isClosed = false;
+    readonly stream: Stream<EngineFrame> = createStream<EngineFrame>(emitter => this.observe(emitter));
+
+    constructor(private readonly backendServer: string, private readonly attemptId: string) {}
+
+    /** Whether no further frame is taken. */
+    get closed(): boolean {
+        return this.isClosed;
+    }
+
+    /** Takes a frame. Returns false and fails the stream if it belongs to another attempt. */
+    push(frame: EngineFrame): boolean {
+        if (this.isClosed) {
+            return true;
+        }
+        if (frame.attemptId !== this.attemptId) {
+            this.fail(new ConnectionFailedError(this.backendServer, ConnectionFailure.protocol, true));
+            return false;
+        }
+        if (this.emitter === undefined) {
+            this.waiting.push(frame);
+        }
+        else {
+            this.emitter.next(frame);
+        }
+        if (frame.type === "end" || frame.type === "failure") {
+            this.finish();
+        }
+        return true;
+    }
+
+    /** Ends the stream without an error. */
+    finish(): void {
+        if (!this.isClosed) {
+            this.isClosed = true;
+            this.emitter?.complete();
+        }
+    }
+
+    fail(error: ConnectionFailedError): void {
+        if (!this.isClosed) {
+            this.isClosed = true;
+            this.error = error;
+            this.emitter?.fail(error);
+        }
+    }
+
+    private observe(emitter: Emitter<EngineFrame>): () => void {
+        for (const frame of this.waiting.splice(0)) {
+            emitter.next(frame);
+        }
+        if (this.error !== undefined) {
+            emitter.fail(this.error);
+        }
+        else if (this.isClosed) {
+            emitter.complete();
+        }
+        else {
+            this.emitter = emitter;
+        }
+        return () => {
+            this.emitter = undefined;
+        };
+    }
+}
--- a/src/domain/backend-connection.ts
+++ b/src/domain/backend-connection.ts
@@ -23,10 +23,16 @@
     cancel(): void;
 }
 
+/** How an attempt is to be sent. */
+export interface AttemptOptions {
+    /** Opens a connection for this attempt alone, for work that must not be repeated. */
+    readonly freshConnection?: boolean;
+}
+
 /** What attempts and orders need of a backend server. */
 export interface BackendServerConnection {
     readonly backendServer: string;
-    startAttempt(request: AttemptRequest): Attempt;
+    startAttempt(request: AttemptRequest, options?: AttemptOptions): Attempt;
     sendOrder(order: PlacementOrder): Promise<OrderReply>;
     readHoldings(timeoutMilliseconds: number): Promise<HoldingsReport>;
     /** Load, cache events, draining and holdings; reconnects by itself. */
--- /dev/null
+++ b/src/stand-ins/backend-server/faulty-sink.ts
@@ -0,0 +1,57 @@
+/** Applies frame faults between an engine and the connection to the router. */
+import type { EngineFrame } from "../../domain/engine-protocol.js";
+import type { FrameFaultRule, FrameSink } from "./types.js";
+
+export class FaultySink implements FrameSink {
+    private delayedFrames = 0;
+    private endWaits = false;
+
+    constructor(private readonly sink: FrameSink, private readonly rule: () => FrameFaultRule | undefined) {}
+
+    write(frame: EngineFrame): void {
+        const fault = this.rule()?.(frame);
+        switch (fault?.kind) {
+            case undefined:
+                this.sink.write(frame);
+                break;
+            case "drop":
+                break;
+            case "duplicate":
+                this.sink.write(frame);
+                this.sink.write(frame);
+                break;
+            case "delay":
+                this.writeLater(frame, fault.milliseconds);
+                break;
+            case "cross":
+                this.sink.write({ ...frame, attemptId: fault.attemptId });
+                break;
+            case "layers":
+                this.sink.write(frame.type === "token" ? { ...frame, layers: fault.layers } : frame);
+                break;
+        }
+    }
+
+    end(): void {
+        if (this.delayedFrames > 0) {
+            this.endWaits = true;
+            return;
+        }
+        this.sink.end();
+    }
+
+    fail(): void {
+        this.sink.fail();
+    }
+
+    private writeLater(frame: EngineFrame, milliseconds: number): void {
+        this.delayedFrames++;
+        setTimeout(() => {
+            this.sink.write(frame);
+            this.delayedFrames--;
+            if (this.endWaits && this.delayedFrames === 0) {
+                this.sink.end();
+            }
+        }, milliseconds);
+    }
+}
--- /dev/null
+++ b/src/stand-ins/backend-server/index.ts
@@ -0,0 +1,10 @@
+/** A stand-in for model engines. */
+export * from "./engine.js";
+export * from "./http-network.js";
+export * from "./in-process-connection.js";
+export * from "./in-process-network.js";
+export * from "./record.js";
+export * from "./server.js";
+export * from "./tokens.js";
+export * from "./types.js";
+export * from "./weight-store.js";
--- /dev/null
+++ b/src/stand-ins/service/index.ts
@@ -0,0 +1,2 @@
+/** A stand-in for plain services. */
+export * from "./service.js";
--- /dev/null
+++ b/src/stand-ins/service/service.ts
@@ -0,0 +1,148 @@
+/** A plain booking and stock service, with its own record of what it ran and the faults that bookings meet. */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { HttpStandIn, readBody, sendJson } from "../http-stand-in.js";
+
+const okStatus = 200;
+const createdStatus = 201;
+const notFoundStatus = 404;
+const unavailableStatus = 503;
+const idempotencyHeader = "idempotency-key";
+const requestIdHeader = "x-request-id";
+
+/** What happens to one booking. */
+export const ServiceFault = {
+    /** The connection breaks before the booking runs. */
+    breakBefore: "break-before",
+    /** The booking runs and the connection breaks without an answer. */
+    breakAfter: "break-after",
+    /** The booking runs and nothing is ever said. */
+    hangAfter: "hang-after",
+    /** Nothing runs and nothing is ever said. */
+    hangBefore: "hang-before",
+    /** Refused with status 503 before it runs. */
+    unavailable: "unavailable",
+} as const;
+export type ServiceFault = typeof ServiceFault[keyof typeof ServiceFault];
+
+/** One booking that ran. */
+export interface BookingRun {
+    readonly bookingNumber: number;
+    readonly idempotencyKey: string | undefined;
+    readonly requestId: string | undefined;
+    readonly body: string;
+}
+
+export interface StandInServiceOptions {
+    readonly host?: string;
+    /** 0 takes any free port. */
+    readonly port?: number;
+    /** Time that a booking takes. */
+    readonly runMilliseconds?: number;
+}
+
+/** Decides what happens to a booking; undefined lets it succeed. */
+export type ServiceFaultRule = (request: IncomingMessage, body: string) => ServiceFault | undefined;
+
+/** The service without transport, for tests that call it directly. */
+export class BookingRecord {
+    readonly runs: BookingRun[] = [];
+
+    run(idempotencyKey: string | undefined, requestId: string | undefined, body: string): BookingRun {
+        const run = { bookingNumber: this.runs.length + 1, idempotencyKey, requestId, body };
+        this.runs.push(run);
+        return run;
+    }
+
+    runsOfKey(idempotencyKey: string): number {
+        return this.runs.filter(run => run.idempotencyKey === idempotencyKey).length;
+    }
+
+    runsOfRequest(requestId: string): number {
+        return this.runs.filter(run => run.requestId === requestId).length;
+    }
+}
+
+/** Serves POST /bookings, GET /bookings/{number}, and GET /stock/{item}. */
+export class StandInService {
+    readonly record = new BookingRecord();
+    faults: ServiceFaultRule | undefined;
+    /** Calls of any kind that arrived. */
+    callCount = 0;
+    private readonly http: HttpStandIn;
+
+    constructor(private readonly options: StandInServiceOptions = {}) {
+        this.http = new HttpStandIn((request, response) => this.handle(request, response), options.port, options.host);
+    }
+
+    get address(): string {
+        return this.http.address;
+    }
+
+    async start(): Promise<void> {
+        await this.http.listen();
+    }
+
+    stop(): void {
+        this.http.close();
+    }
+
+    /** Refuses new connections until `accept`. */
+    refuse(): void {
+        this.http.refuse();
+    }
+
+    async accept(): Promise<void> {
+        await this.http.listen();
+    }
+
+    /** Leaves open connections silent for good; new ones work. */
+    freezeConnections(): void {
+        this.http.freezeConnections();
+    }
+
+    private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        this.callCount++;
+        const body = await readBody(request);
+        const [, resource, name] = new URL(request.url ?? "/", this.address).pathname.split("/");
+        if (request.method === "POST" && resource === "bookings") {
+            await this.book(request, response, body);
+        }
+        else if (request.method === "GET" && resource === "bookings") {
+            const run = this.record.runs.find(known => String(known.bookingNumber) === name);
+            sendJson(response, run === undefined ? notFoundStatus : okStatus, run ?? {});
+        }
+        else if (request.method === "GET" && resource === "stock") {
+            sendJson(response, okStatus, { item: name, tonnes: (name ?? "").length * 10 });
+        }
+        else {
+            sendJson(response, notFoundStatus, {});
+        }
+    }
+
+    private async book(request: IncomingMessage, response: ServerResponse, body: string): Promise<void> {
+        const fault = this.faults?.(request, body);
+        switch (fault) {
+            case ServiceFault.breakBefore:
+                response.destroy();
+                return;
+            case ServiceFault.hangBefore:
+                return;
+            case ServiceFault.unavailable:
+                sendJson(response, unavailableStatus, { error: "busy" });
+                return;
+        }
+        const run = this.record.run(header(request, idempotencyHeader), header(request, requestIdHeader), body);
+        await new Promise(resolve => setTimeout(resolve, this.options.runMilliseconds ?? 0));
+        if (fault === ServiceFault.breakAfter) {
+            response.destroy();
+        }
+        else if (fault !== ServiceFault.hangAfter && !this.http.isFrozen(response)) {
+            sendJson(response, createdStatus, { bookingNumber: run.bookingNumber });
+        }
+    }
+}
+
+function header(request: IncomingMessage, name: string): string | undefined {
+    const value = request.headers[name];
+    return Array.isArray(value) ? value[0] : value;
+}
--- /dev/null
+++ b/test/connection/backend-server/http-connection.test.ts
@@ -0,0 +1,270 @@
+import { afterEach, beforeEach, describe, expect, jest, test } from "@jest/globals";
+import { createServer, type Server } from "node:net";
+import type { AddressInfo } from "node:net";
+import { SilentLogger } from "../../../src/common/logger.js";
+import { SilentMetrics } from "../../../src/common/metrics.js";
+import { SeededRandom } from "../../../src/common/random.js";
+import {
+    defaultBackendServerConnectionSettings,
+    HttpBackendServerConnection,
+    HttpBackendServerConnections,
+} from "../../../src/connection/backend-server/index.js";
+import type { Attempt, AttemptOptions } from "../../../src/domain/backend-connection.js";
+import type { BackendServerEvent, EngineFrame } from "../../../src/domain/engine-protocol.js";
+import {
+    expectedAnswer,
+    HttpStageNetwork,
+    StandInBackendServer,
+    type StandInBackendServerOptions,
+    WeightStore,
+} from "../../../src/stand-ins/backend-server/index.js";
+import { attemptOf, engineOptions, messages, serverClass, tokensOf } from "../../support/engines.js";
+
+const parts = {
+    settings: { ...defaultBackendServerConnectionSettings, silenceMilliseconds: 400, orderCredential: "secret" },
+    logger: new SilentLogger(),
+    metrics: new SilentMetrics(),
+    random: new SeededRandom(1),
+};
+
+let network = new HttpStageNetwork();
+let servers: StandInBackendServer[] = [];
+let connections: HttpBackendServerConnection[] = [];
+let plainServers: Server[] = [];
+
+beforeEach(() => {
+    jest.useRealTimers();
+    network = new HttpStageNetwork();
+    servers = [];
+    connections = [];
+    plainServers = [];
+});
+
+afterEach(async () => {
+    connections.forEach(connection => connection.close());
+    servers.forEach(server => server.stop());
+    plainServers.forEach(server => server.close());
+    await network.close();
+});
+
+async function start(id: string, first: number, last: number, options: Partial<StandInBackendServerOptions> = {}) {
+    const server = new StandInBackendServer(
+        { ...engineOptions(id, { first, last }), heartbeatMilliseconds: 100, ...options },
+        { network, weightStore: new WeightStore(1e9), random: new SeededRandom(servers.length) },
+    );
+    await server.start();
+    servers.push(server);
+    return server;
+}
+
+function connect(server: StandInBackendServer): HttpBackendServerConnection {
+    return connectTo(server.engine.id, server.address);
+}
+
+function connectTo(id: string, address: string): HttpBackendServerConnection {
+    const connection = new HttpBackendServerConnection(id, address, parts);
+    connections.push(connection);
+    return connection;
+}
+
+function stage(server: StandInBackendServer, first: number, last: number) {
+    return { backendServer: server.engine.id, address: server.address, layers: { first, last } };
+}
+
+interface Outcome {
+    readonly frames: EngineFrame[];
+    readonly error?: unknown;
+}
+
+/** Resolves when the attempt has ended in any way. */
+function settle(attempt: Attempt, onFrame: (frame: EngineFrame) => void = () => undefined): Promise<Outcome> {
+    const frames: EngineFrame[] = [];
+    return attempt.frames.observe(frame => {
+        frames.push(frame);
+        onFrame(frame);
+    }).then(() => ({ frames }), (error: unknown) => ({ frames, error }));
+}
+
+async function until(condition: () => boolean): Promise<void> {
+    while (!condition()) {
+        await new Promise(resolve => setTimeout(resolve, 5));
+    }
+}
+
+/** A server that sends fixed bytes for an attempt. */
+async function startPlain(reply: (write: (text: string) => void, close: () => void) => void): Promise<string> {
+    const server = createServer(socket => {
+        socket.on("error", () => socket.destroy());
+        socket.once("data", () => {
+            socket.write("HTTP/1.1 200 OK\r\ncontent-type: application/x-ndjson\r\n\r\n");
+            reply(text => socket.write(text), () => socket.destroy());
+        });
+    });
+    plainServers.push(server);
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    return `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+describe("a link to a backend server over HTTP", () => {
+    test("an answer crosses three backend servers, each layer once and in order", async () => {
+        const fleet = [await start("a", 0, 3), await start("b", 4, 7), await start("c", 8, 11)] as const;
+        const stages = fleet.map((server, index) => stage(server, index * 4, index * 4 + 3));
+        const { frames, error } = await settle(connect(fleet[0]).startAttempt(attemptOf("1", stages)));
+        expect(error).toBeUndefined();
+        expect(tokensOf(frames).map(token => token.text)).toEqual(expectedAnswer(messages, 100).tokens);
+        expect(tokensOf(frames).map(token => token.layers)).toEqual(
+            Array.from({ length: 8 }, () => stages.map(used => used.layers)),
+        );
+        expect(frames.at(-1)).toMatchObject({ type: "end", count: 8 });
+        for (const server of fleet) {
+            expect(server.engine.record.runs.map(run => run.position)).toEqual([0, 1, 2, 3, 4, 5, 6, 7]);
+        }
+    });
+
+    test("a refused connection wrote no byte", async () => {
+        const server = await start("a", 0, 11);
+        server.refuse();
+        const { error } = await settle(connect(server).startAttempt(attemptOf("1", [stage(server, 0, 11)])));
+        expect(error).toMatchObject({ failure: "refused", bytesWritten: false });
+        expect(server.engine.record.attempts).toEqual([]);
+    });
+
+    test.each([{ freshConnection: false }, { freshConnection: true }])(
+        "a death mid-answer breaks the attempt (%p)",
+        async (options: AttemptOptions) => {
+            const server = await start("a", 0, 11);
+            const attempt = connect(server).startAttempt(attemptOf("1", [stage(server, 0, 11)]), options);
+            const { error } = await settle(attempt, frame => frame.type === "token" && server.die());
+            expect(error).toMatchObject({ failure: "broken", bytesWritten: true });
+        },
+    );
+
+    test("a silent connection is given up and new ones are used, while heartbeats keep a slow one", async () => {
+        const server = await start("a", 0, 11);
+        const connection = connect(server);
+        server.engine.setStalled(true);
+        const first = settle(connection.startAttempt(attemptOf("1", [stage(server, 0, 11)])));
+        const slow = settle(connection.startAttempt(attemptOf("slow", [stage(server, 0, 11)])));
+        await until(() => server.engine.record.attempts.length === 2);
+        server.freezeConnections();
+        expect(await first).toMatchObject({ error: { failure: "silent", bytesWritten: true } });
+        await slow;
+        let heartbeats = 0;
+        const next = settle(
+            connection.startAttempt(attemptOf("2", [stage(server, 0, 11)])),
+            frame => {
+                heartbeats += frame.type === "heartbeat" ? 1 : 0;
+                if (heartbeats === 6) {
+                    server.engine.setStalled(false);
+                }
+            },
+        );
+        expect((await next).frames.at(-1)).toMatchObject({ type: "end", count: 8 });
+    });
+
+    test("idle connections that went silent are not used again", async () => {
+        const server = await start("a", 0, 11);
+        const connection = connect(server);
+        await settle(connection.startAttempt(attemptOf("1", [stage(server, 0, 11)])));
+        server.freezeConnections();
+        const fresh = connection.startAttempt(attemptOf("2", [stage(server, 0, 11)]), { freshConnection: true });
+        expect((await settle(fresh)).frames.at(-1)).toMatchObject({ type: "end" });
+        const kept = await settle(connection.startAttempt(attemptOf("3", [stage(server, 0, 11)])));
+        expect(kept.error).toMatchObject({ failure: "silent" });
+        const next = await settle(connection.startAttempt(attemptOf("4", [stage(server, 0, 11)])));
+        expect(next.frames.at(-1)).toMatchObject({ type: "end" });
+    });
+
+    test.each(["this is no frame\n", "null\n", `{"type":"token","attemptId":"other"}\n`, `${"x".repeat(1_100_000)}`])(
+        "an unreadable or foreign line fails the attempt (%#)",
+        async line => {
+            const address = await startPlain(write => write(line));
+            const attempt = connectTo("a", address).startAttempt(attemptOf("1", []));
+            expect(await settle(attempt)).toMatchObject({ frames: [], error: { failure: "protocol" } });
+        },
+    );
+
+    test("an answer that ends without its closing frame is broken, and split characters are put together", async () => {
+        const frame = `${JSON.stringify({ type: "token", attemptId: "1", text: "gräde" })}\n`;
+        const bytes = Buffer.from(frame);
+        const middle = bytes.indexOf(0xc3) + 1;
+        const address = await startPlain((write, close) => {
+            write(bytes.toString("latin1", 0, 0));
+            (write as (text: unknown) => void)(bytes.subarray(0, middle));
+            setTimeout(() => {
+                (write as (text: unknown) => void)(bytes.subarray(middle));
+                setTimeout(close, 20);
+            }, 20);
+        });
+        const outcome = await settle(connectTo("a", address).startAttempt(attemptOf("1", [])));
+        expect(outcome).toMatchObject({ frames: [{ text: "gräde" }], error: { failure: "broken" } });
+    });
+
+    test("a paused reader stops the engine and is not taken for silence", async () => {
+        const server = await start("a", 0, 11, { class: { ...serverClass, layerTokensPerSecond: 1e8 } });
+        const long = [{ role: "user", content: "tokens=20000" }];
+        const request = attemptOf("1", [stage(server, 0, 11)], { messages: long, maximumTokens: 20_000 });
+        const attempt = connect(server).startAttempt(request);
+        const outcome = settle(attempt, frame => frame.type === "token" && frame.position === 1 && attempt.pause());
+        await until(() => server.engine.record.runs.length > 2);
+        await new Promise(resolve => setTimeout(resolve, 600));
+        attempt.resume();
+        attempt.cancel();
+        expect((await outcome).error).toBeUndefined();
+    });
+
+    test("cancelling reaches the engine", async () => {
+        const server = await start("a", 0, 11);
+        server.engine.setStalled(true);
+        const attempt = connect(server).startAttempt(attemptOf("1", [stage(server, 0, 11)]));
+        const outcome = settle(attempt);
+        await until(() =>
+            server.engine.presentEvents().some(event => event.type === "load" && event.load.runningAttempts === 1)
+        );
+        attempt.cancel();
+        await until(() =>
+            server.engine.presentEvents().some(event => event.type === "load" && event.load.runningAttempts === 0)
+        );
+        expect((await outcome).error).toBeUndefined();
+    });
+
+    test("events come back after silence and after a break", async () => {
+        const server = await start("a", 0, 11);
+        const events: BackendServerEvent[] = [];
+        const connection = connect(server);
+        connection.events.observe(event => void events.push(event)).catch(() => undefined);
+        const holdings = () => events.filter(event => event.type === "holdings").length;
+        await until(() => holdings() === 1);
+        server.freezeConnections();
+        await until(() => holdings() === 2);
+        server.refuse();
+        await server.accept();
+        server.engine.drain();
+        await until(() => events.some(event => event.type === "draining"));
+    });
+
+    test("orders carry the credential, and holdings are read back", async () => {
+        const checking = { class: { ...serverClass, checksOrders: true }, orderCredential: "secret" };
+        const right = await start("right", 0, 11, checking);
+        const wrong = await start("wrong", 0, 11, { ...checking, orderCredential: "other" });
+        const order = {
+            orderId: "1",
+            fencingNumber: 3,
+            timeoutMilliseconds: 1_000,
+            action: { kind: "change-role", role: "decode" },
+        } as const;
+        expect(await connect(right).sendOrder(order)).toMatchObject({ result: "done" });
+        expect(await connect(wrong).sendOrder(order)).toMatchObject({ result: "refused" });
+        expect(await connect(right).readHoldings(1_000)).toMatchObject({ role: "decode", fencingNumber: 3 });
+        right.refuse();
+        await expect(connect(right).readHoldings(1_000)).rejects.toMatchObject({ failure: "refused" });
+    });
+
+    test("a backend server that moved gets a new link", async () => {
+        const links = new HttpBackendServerConnections(parts);
+        const first = links.get("a", "http://127.0.0.1:1");
+        expect(links.get("a", "http://127.0.0.1:1")).toBe(first);
+        expect(links.get("a", "http://127.0.0.1:2")).not.toBe(first);
+        links.close();
+    });
+});
