--- a/src/request/answer/answer-run.ts
+++ b/src/request/answer/answer-run.ts
@@ -3,7 +3,7 @@
  * after a failure resumes at the next position with a new plan that keeps what survived.
  */
 import { randomUUID } from "node:crypto";
-import { monotonicNow } from "../../common/clock.js";
+import { delay, monotonicNow } from "../../common/clock.js";
 import type { Emitter } from "../../common/streams.js";
 import type { AttemptRequest, EndFrame, TokenFrame } from "../../domain/engine-protocol.js";
 import { estimatePromptTokens, prefixBlockHashes } from "../../domain/prefix-blocks.js";
@@ -15,9 +15,11 @@
     Outcome,
 } from "../../errors/index.js";
 import type { PipelineChoice } from "../pipeline-choice/types.js";
+import { backoffMilliseconds } from "../retry/backoff.js";
 import { type AttemptFailure, AttemptFailureKind } from "./attempt-failure.js";
 import { type AttemptListener, AttemptRun } from "./attempt-run.js";
 import {
+    budgetEmptyBackoffRetry,
     maximumAttempts,
     maximumFruitlessAttempts,
     minimumFirstTokenStallMilliseconds,
@@ -145,7 +147,36 @@
             );
             return;
         }
-        this.startAttempt();
+        if (await this.waitForRetry(attempt, failure)) {
+            this.startAttempt();
+        }
+    }
+
+    /**
+     * Waits until another attempt may start. One that gave the caller tokens is resumed at once: its admitted work is
+     * merely moved. One that gave none is a retry: it is taken from the route's budget, after a backoff if the backend
+     * server was overloaded.
+     */
+    private async waitForRetry(attempt: CurrentAttempt, failure: AttemptFailure): Promise<boolean> {
+        if (attempt.run.madeProgress) {
+            return true;
+        }
+        const { random, retryBudgets } = this.dependencies;
+        const { name, retryShare } = this.request.route;
+        let wait = failure.reason === "overloaded" || this.fruitlessAttempts > 2
+            ? backoffMilliseconds(this.fruitlessAttempts, random)
+            : 0;
+        while (!this.finished) {
+            if (wait > 0) {
+                await delay(wait, this.cancelled.signal);
+            }
+            if (this.finished || retryBudgets.forRoute(name, retryShare).tryTake()) {
+                break;
+            }
+            this.dependencies.metrics.increment("pomelostall.retry.budget_empty");
+            wait = backoffMilliseconds(budgetEmptyBackoffRetry, random);
+        }
+        return !this.finished;
     }
 
     /** Decides which backend servers to leave out of the next plan. */
--- a/src/request/answer/constants.ts
+++ b/src/request/answer/constants.ts
@@ -20,3 +20,6 @@
 
 /** Time that a suspected backend server has to answer a probe over a new connection. */
 export const probeTimeoutMilliseconds = 200;
+
+/** The backoff step that is used while the retry budget is empty. */
+export const budgetEmptyBackoffRetry = 4;
--- /dev/null
+++ b/test/process/retry-budgets/token-retry-budgets.test.ts
@@ -0,0 +1,32 @@
+import { describe, expect, jest, test } from "@jest/globals";
+import { TokenRetryBudgets } from "../../../src/process/retry-budgets/token-retry-budgets.js";
+
+describe("TokenRetryBudgets", () => {
+    test("allows a share of first attempts beside a small reserve", () => {
+        const budget = new TokenRetryBudgets().forRoute("route", 0.1);
+        let retries = 0;
+        for (let request = 0; request < 1_000; request++) {
+            budget.recordFirstAttempt();
+            retries += budget.tryTake() ? 1 : 0;
+        }
+        expect(retries).toBeGreaterThanOrEqual(100);
+        expect(retries).toBeLessThanOrEqual(105);
+    });
+
+    test("fills only the reserve with time, and follows a changed share", async () => {
+        const budgets = new TokenRetryBudgets();
+        const budget = budgets.forRoute("route", 0);
+        const takeAll = () => {
+            let taken = 0;
+            while (budget.tryTake()) {
+                taken++;
+            }
+            return taken;
+        };
+        expect(takeAll()).toBe(5);
+        await jest.advanceTimersByTimeAsync(3_600_000);
+        expect(takeAll()).toBe(5);
+        budgets.forRoute("route", 1).recordFirstAttempt();
+        expect(takeAll()).toBe(1);
+    });
+});
--- a/test/request/answer/pipeline-answer-service.test.ts
+++ b/test/request/answer/pipeline-answer-service.test.ts
@@ -124,6 +124,18 @@
         expect(world.inFlight).toBe(0);
     });
 
+    test("retries what gave no token only within the budget, until the deadline", async () => {
+        world.retriesLeft = 1;
+        const caller = new Caller(world, { deadline: performance.now() + 2_000 });
+        world.last.break("broken", true);
+        await settle(100);
+        world.last.break("broken", true);
+        await settle(1_000);
+        expect(world.attempts).toHaveLength(2);
+        await settle(1_000);
+        expect(caller.error).toMatchObject({ code: "deadline-exceeded", outcome: "failed" });
+    });
+
     test("refuses as not-run what cannot give a first token in time", async () => {
         world.expectedFirstTokenMilliseconds = 20_000;
         const caller = new Caller(world);
