--- a/src/stand-ins/platform/platform-server.ts
+++ b/src/stand-ins/platform/platform-server.ts
@@ -26,6 +26,9 @@
 const maximumRequestBytes = 8_000_000;
 const millisecondsPerSecond = 1_000;
 
+/** Where the VM list of the stand-in is set. */
+export const standInVmsPath = "/stand-in/vms";
+
 const grpcInvalidArgument = 3;
 const grpcNotFound = 5;
 
@@ -50,6 +53,7 @@
             [etcdPaths.leaseKeepAlive, body => this.keepLeaseAlive(body as EtcdLeaseRequest)],
             [etcdPaths.leaseRevoke, body => this.revokeLease(body as EtcdLeaseRequest)],
             [etcdPaths.watch, (body, response) => this.watch(body as EtcdWatchRequest, response)],
+            [standInVmsPath, body => this.setVms(body)],
             [vmListPath, async () => ({ vms: await this.platform.listVms(callTimeoutMilliseconds) })],
         ]);
     }
@@ -91,6 +95,13 @@
         }
     }
 
+    /** Not part of the platform's protocol: sets the VM list of the stand-in. */
+    private async setVms(body: unknown): Promise<unknown> {
+        const { vms } = vmListSchema.parse(body);
+        this.platform.setVms(vms);
+        return { vms: vms.length };
+    }
+
     private async range(request: EtcdRangeRequest): Promise<unknown> {
         const key = decodeKey(request.key);
         const entries = request.range_end === undefined
