--- a/src/process/platform/http-vm-list.ts
+++ b/src/process/platform/http-vm-list.ts
@@ -5,7 +5,8 @@
 import { PlatformUnavailableError } from "../../errors/index.js";
 import type { HttpPlatformClient } from "./http-platform-client.js";
 
-const vmListSchema = z.object({
+/** The form of the list on the wire. */
+export const vmListSchema = z.object({
     vms: z.array(z.object({
         id: z.string(),
         kind: z.enum(["router", "backend-server", "service"]),
--- a/src/process/platform/index.ts
+++ b/src/process/platform/index.ts
@@ -1,4 +1,4 @@
 /** Clients of the platform's services. */
 export { HttpKeyValueService } from "./http-key-value-service.js";
 export { HttpPlatformClient } from "./http-platform-client.js";
-export { HttpVmList } from "./http-vm-list.js";
+export { HttpVmList, vmListSchema } from "./http-vm-list.js";
--- a/src/process/settings/describe-settings.ts
+++ b/src/process/settings/describe-settings.ts
@@ -20,7 +20,7 @@
     "router.region": "perth",
     "router.availabilityZone": "perth-a",
     "platform.keyValueAddresses": ["http://127.0.0.1:2379"],
-    "platform.vmListAddress": "http://127.0.0.1:2380/v1/vms",
+    "platform.vmListAddresses": ["http://127.0.0.1:2379"],
 };
 
 const indent = "    ";
--- a/src/process/settings/schema.ts
+++ b/src/process/settings/schema.ts
@@ -57,7 +57,7 @@
 
 const platform = z.strictObject({
     keyValueAddresses: z.array(url).min(1).describe("Base URLs of the platform's key-value service."),
-    vmListAddress: url.describe("URL of the platform's list of VMs."),
+    vmListAddresses: z.array(url).min(1).describe("Base URLs of the platform's list of VMs."),
     timeoutMilliseconds: milliseconds.default(1000).describe("Time that one call to the platform may take."),
 }).describe("The platform's services.");
 
--- a/src/stand-ins/platform/index.ts
+++ b/src/stand-ins/platform/index.ts
@@ -2,5 +2,5 @@
 export { CallCounts } from "./call-counts.js";
 export { Availability, createFaults, type PlatformFaults } from "./faults.js";
 export type { StoreSnapshot } from "./key-value-store.js";
-export { PlatformServer } from "./platform-server.js";
+export { PlatformServer, standInVmsPath } from "./platform-server.js";
 export { StandInPlatform } from "./stand-in-platform.js";
--- a/src/stand-ins/platform/platform-server.ts
+++ b/src/stand-ins/platform/platform-server.ts
@@ -19,6 +19,7 @@
 } from "../../domain/etcd-protocol.js";
 import type { KeyValueEntry, KeyWrite } from "../../domain/platform.js";
 import { LeaseLostError, PlatformUnavailableError, ValueTooLargeError } from "../../errors/index.js";
+import { vmListSchema } from "../../process/platform/index.js";
 import type { StandInPlatform } from "./stand-in-platform.js";
 
 /** Longest time of one call inside the server; clients give up sooner. */
--- a/test/process/settings/parse-settings.test.ts
+++ b/test/process/settings/parse-settings.test.ts
@@ -6,7 +6,7 @@
 const minimal = `{
     // Comments are allowed.
     "router": { "id": "router-1", "region": "perth", "availabilityZone": "perth-a" },
-    "platform": { "keyValueAddresses": ["http://127.0.0.1:2379"], "vmListAddress": "http://127.0.0.1:2380/v1/vms" },
+    "platform": { "keyValueAddresses": ["http://127.0.0.1:2379"], "vmListAddresses": ["http://127.0.0.1:2379"] },
 }`;
 
 function faultsOf(text: string) {
@@ -50,7 +50,7 @@
         expect(faults.map(fault => [fault.line, fault.field, fault.found])).toEqual([
             [2, "router.availabilityZone", "nothing"],
             [3, "platform.keyValueAddresses", "nothing"],
-            [3, "platform.vmListAddress", "nothing"],
+            [3, "platform.vmListAddresses", "nothing"],
         ]);
     });
 
