Add the configuration store and the push service

Aim: an accepted configuration is in force in every router within 3 s and never reverts. One head changes by compare-and-swap; few routers of each availability zone watch and poll the platform, the others learn from peers and poll rarely as a backstop. A head that the platform lost is written again by the routers. A push whose answer was lost repeats its compare-and-swap and recognises its own ID.

--- a/src/domain/platform.ts
+++ b/src/domain/platform.ts
@@ -52,8 +52,8 @@
     /** Rejects with LeaseLostError if the lease has lapsed. */
     keepLeaseAlive(leaseId: string, timeoutMilliseconds: number): Promise<void>;
     revokeLease(leaseId: string, timeoutMilliseconds: number): Promise<void>;
-    /** Changes after the given revision. The stream can go silent without an error. */
-    watch(prefix: string, afterRevision: number): Stream<WatchEvent>;
+    /** Changes after the given revision, or from now on without one. The stream can go silent without an error. */
+    watch(prefix: string, afterRevision?: number): Stream<WatchEvent>;
 }
 
 export interface VmEntry {
--- a/src/domain/version-exchange.ts
+++ b/src/domain/version-exchange.ts
@@ -43,7 +43,6 @@
 /** What one router says of the version it has in force. */
 export interface VersionConfirmation {
     readonly routerId: string;
-    readonly region: string;
     readonly availabilityZone: string;
     /** 0 when the router could not be asked. */
     readonly version: number;
--- /dev/null
+++ b/src/process/configuration/stored-head.ts
@@ -0,0 +1,79 @@
+/** The keys and JSON values under which versions are stored in the platform's key-value service. */
+import { createHash } from "node:crypto";
+import { z } from "zod";
+import type { VersionRecord } from "../../domain/configuration-record.js";
+import { VersionCorruptError } from "../../errors/index.js";
+
+/** All keys of the configuration start with this. */
+export const configurationPrefix = "pomelostall/configuration/";
+/** The one key that says which version is accepted; changed by compare-and-swap only. */
+export const headKey = `${configurationPrefix}head`;
+/** One head for each kept version, by version. */
+export const recordsPrefix = `${configurationPrefix}records/`;
+const chunksPrefix = `${configurationPrefix}chunks/`;
+
+/** Well under the platform's limit for a value. */
+export const chunkBytes = 900_000;
+
+const versionDigits = 12;
+
+const headSchema = z.object({
+    version: z.int().min(1),
+    pushId: z.string(),
+    parent: z.int().min(0),
+    author: z.string(),
+    acceptedAt: z.string(),
+    chunkTotal: z.int().min(1),
+    /** Of the compressed sheet. */
+    sha256: z.string(),
+});
+
+/** A version's record, and where its sheet is. */
+export type StoredHead = z.infer<typeof headSchema>;
+
+export function encodeHead(head: StoredHead): Uint8Array {
+    return Buffer.from(JSON.stringify(head), "utf8");
+}
+
+export function decodeHead(value: Uint8Array): StoredHead {
+    try {
+        return headSchema.parse(JSON.parse(Buffer.from(value).toString("utf8")));
+    }
+    catch (error) {
+        throw new VersionCorruptError("The record of a version", error);
+    }
+}
+
+export function recordOf(head: StoredHead): VersionRecord {
+    const { version, pushId, parent, author, acceptedAt } = head;
+    return { version, pushId, parent, author, acceptedAt };
+}
+
+export function recordKey(version: number): string {
+    return `${recordsPrefix}${formatVersion(version)}`;
+}
+
+/** The push ID keeps two pushes of one version apart. */
+export function chunkPrefix(head: { readonly version: number; readonly pushId: string; }): string {
+    return `${chunksPrefix}${formatVersion(head.version)}/${head.pushId}/`;
+}
+
+export function chunkKey(head: { readonly version: number; readonly pushId: string; }, index: number): string {
+    return `${chunkPrefix(head)}${String(index).padStart(4, "0")}`;
+}
+
+export function splitChunks(bytes: Uint8Array): Uint8Array[] {
+    const chunks: Uint8Array[] = [];
+    for (let start = 0; start === 0 || start < bytes.length; start += chunkBytes) {
+        chunks.push(bytes.subarray(start, start + chunkBytes));
+    }
+    return chunks;
+}
+
+export function hashBytes(bytes: Uint8Array): string {
+    return createHash("sha256").update(bytes).digest("hex");
+}
+
+function formatVersion(version: number): string {
+    return String(version).padStart(versionDigits, "0");
+}
--- a/src/process/platform/http-key-value-service.ts
+++ b/src/process/platform/http-key-value-service.ts
@@ -107,12 +107,12 @@
         checkStatus(status, body);
     }
 
-    watch(prefix: string, afterRevision: number): Stream<WatchEvent> {
+    watch(prefix: string, afterRevision?: number): Stream<WatchEvent> {
         const request: EtcdWatchRequest = {
             create_request: {
                 key: encodeKey(prefix),
                 range_end: encodePrefixEnd(prefix),
-                start_revision: String(afterRevision + 1),
+                ...(afterRevision === undefined ? {} : { start_revision: String(afterRevision + 1) }),
             },
         };
         return createStream<WatchEvent>(emitter => {
--- a/src/process/platform/http-vm-list.ts
+++ b/src/process/platform/http-vm-list.ts
@@ -19,12 +19,12 @@
     })),
 });
 
-/** Reads the list with GET /vms. */
+/** Reads the list with GET. An empty path means that the client's addresses are the whole URL. */
 export class HttpVmList implements VmList {
-    constructor(private readonly client: HttpPlatformClient) {}
+    constructor(private readonly client: HttpPlatformClient, private readonly path: string = vmListPath) {}
 
     async list(timeoutMilliseconds: number): Promise<readonly VmEntry[]> {
-        const { body } = await this.client.call(vmListPath, undefined, timeoutMilliseconds, false);
+        const { body } = await this.client.call(this.path, undefined, timeoutMilliseconds, false);
         const parsed = vmListSchema.safeParse(body);
         if (!parsed.success) {
             throw new PlatformUnavailableError("The platform's VM list is malformed.", false, parsed.error);
--- a/src/stand-ins/platform/stand-in-platform.ts
+++ b/src/stand-ins/platform/stand-in-platform.ts
@@ -111,7 +111,7 @@
         await this.call(timeoutMilliseconds, true, () => this.shared.store.revokeLease(leaseId));
     }
 
-    watch(prefix: string, afterRevision: number): Stream<WatchEvent> {
+    watch(prefix: string, afterRevision: number = this.revision): Stream<WatchEvent> {
         return createStream<WatchEvent>(emitter => {
             this.counts.watches++;
             if (this.faults.availability === Availability.refusing) {
@@ -157,7 +157,11 @@
         return this.shared.vmStates.findLast(state => state.since <= time)?.vms ?? [];
     }
 
+    /** A client that was cut off keeps its open watches, which miss what happens and say nothing. */
     private deliver(watcher: Watcher, event: WatchEvent, next: (event: WatchEvent) => void): void {
+        if (this.faults.availability !== Availability.up) {
+            watcher.silent = true;
+        }
         setTimeout(() => {
             if (!watcher.silent) {
                 next(event);
--- /dev/null
+++ b/test/process/configuration/fleet-fixture.ts
@@ -0,0 +1,140 @@
+/** Several configuration stores over one in-process platform, linked by a network in memory that a test can cut. */
+import { SilentLogger } from "../../../src/common/logger.js";
+import { SilentMetrics } from "../../../src/common/metrics.js";
+import { SeededRandom } from "../../../src/common/random.js";
+import type { StoredVersion, VersionAnnouncement, VersionExchange } from "../../../src/domain/version-exchange.js";
+import { PlatformUnavailableError } from "../../../src/errors/index.js";
+import { ConfigurationStore, PushService } from "../../../src/process/configuration/index.js";
+import { StandInPlatform } from "../../../src/stand-ins/platform/index.js";
+import {
+    buildConfiguration,
+    createEmptyConfiguration,
+    diffSheets,
+    parseSheet,
+} from "../../../src/version/sheet/index.js";
+
+const peerLatencyMilliseconds = 2;
+const announceMilliseconds = 300;
+const keptVersionTotal = 40;
+
+/** A sheet that differs by one number. */
+export function sheetOf(rate: number): string {
+    return `kind,megabytes_per_second\nweight-store,${rate}\n`;
+}
+
+/** One router: its store, its own client of the platform, and every version that came into force, in order. */
+export class RouterFixture implements VersionExchange {
+    readonly applied: number[] = [];
+    readonly store: ConfigurationStore;
+    private readonly listeners = new Set<(announcement: VersionAnnouncement) => void>();
+    private readonly heard = new Map<string, number>();
+    private readonly timer: ReturnType<typeof setInterval>;
+    stopped = false;
+
+    constructor(
+        readonly id: string,
+        private readonly network: FleetFixture,
+        readonly platform: StandInPlatform,
+        watches: boolean,
+    ) {
+        this.store = new ConfigurationStore({
+            initial: createEmptyConfiguration(),
+            parse: buildConfiguration,
+            keyValueService: platform,
+            exchange: this,
+            watchesPlatform: () => watches,
+            routerTotal: () => network.routers.length,
+            random: new SeededRandom(id.length),
+            logger: new SilentLogger(),
+            metrics: new SilentMetrics(),
+        });
+        this.store.versions.observe(configuration => {
+            this.applied.push(configuration.version);
+        }).catch(() => undefined);
+        this.timer = setInterval(() => this.announce(this.store.highestVersion), announceMilliseconds);
+    }
+
+    async stop(): Promise<void> {
+        this.stopped = true;
+        clearInterval(this.timer);
+        await this.store.stop();
+    }
+
+    announce(version: number): void {
+        for (const peer of this.network.peersOf(this)) {
+            setTimeout(() => peer.hear({ routerId: this.id, version }), peerLatencyMilliseconds);
+        }
+    }
+
+    highestAnnounced(): VersionAnnouncement | undefined {
+        const [highest] = [...this.heard].sort((left, right) => right[1] - left[1]);
+        return highest === undefined ? undefined : { routerId: highest[0], version: highest[1] };
+    }
+
+    onAnnouncement(listener: (announcement: VersionAnnouncement) => void): () => void {
+        this.listeners.add(listener);
+        return () => this.listeners.delete(listener);
+    }
+
+    async askPeers(): Promise<readonly VersionAnnouncement[]> {
+        return this.network.peersOf(this).map(peer => ({ routerId: peer.id, version: peer.store.highestVersion }));
+    }
+
+    async readVersion(routerId: string, minimumVersion: number): Promise<StoredVersion | undefined> {
+        const peer = this.network.peersOf(this).find(each => each.id === routerId);
+        if (peer === undefined) {
+            throw new PlatformUnavailableError("the peer is cut off", false);
+        }
+        return peer.store.readStored(minimumVersion);
+    }
+
+    private hear(announcement: VersionAnnouncement): void {
+        this.heard.set(announcement.routerId, announcement.version);
+        this.listeners.forEach(listener => listener(announcement));
+    }
+}
+
+export class FleetFixture {
+    readonly platform = new StandInPlatform();
+    readonly routers: RouterFixture[] = [];
+    /** Routers of different groups can't reach each other. */
+    readonly groups = new Map<string, number>();
+    private pushes = 0;
+
+    /** Adds a router; the first `watchers` ones watch the platform. */
+    add(watches: boolean): RouterFixture {
+        const router = new RouterFixture(`router-${this.routers.length}`, this, this.platform.access(), watches);
+        this.routers.push(router);
+        return router;
+    }
+
+    peersOf(router: RouterFixture): RouterFixture[] {
+        return this.routers.filter(each =>
+            each !== router && !each.stopped && this.groups.get(each.id) === this.groups.get(router.id)
+        );
+    }
+
+    pusher(platform: StandInPlatform = this.platform.access()): PushService {
+        return new PushService({
+            keyValueService: platform,
+            check: sheet => void parseSheet(sheet),
+            compare: diffSheets,
+            fleetVersions: {
+                read: async () =>
+                    this.routers.filter(router => !router.stopped).map(router => ({
+                        routerId: router.id,
+                        availabilityZone: "a",
+                        version: router.store.current.version,
+                    })),
+            },
+            createPushId: () => `push-${++this.pushes}`,
+            wallClock: () => new Date(0),
+            keptVersionTotal,
+        });
+    }
+
+    async stop(): Promise<void> {
+        await Promise.all(this.routers.map(router => router.stop()));
+        this.platform.close();
+    }
+}
--- /dev/null
+++ b/test/process/configuration/push-service.test.ts
@@ -0,0 +1,135 @@
+import { afterEach, beforeEach, describe, expect, jest, test } from "@jest/globals";
+import {
+    PlatformUnavailableError,
+    PushConflictError,
+    PushUnsettledError,
+    SheetInvalidError,
+    VersionNotFoundError,
+} from "../../../src/errors/index.js";
+import { chunkBytes } from "../../../src/process/configuration/stored-head.js";
+import { Availability } from "../../../src/stand-ins/platform/index.js";
+import { FleetFixture, sheetOf } from "./fleet-fixture.js";
+
+let fleet: FleetFixture;
+
+beforeEach(() => {
+    fleet = new FleetFixture();
+});
+
+afterEach(async () => {
+    await fleet.stop();
+});
+
+async function settle<Value>(promise: Promise<Value>, milliseconds: number): Promise<Value> {
+    promise.catch(() => undefined);
+    await jest.advanceTimersByTimeAsync(milliseconds);
+    return promise;
+}
+
+const request = (rate: number, author = "planner") => ({ sheet: sheetOf(rate), author });
+
+describe("PushService", () => {
+    test("of two pushes at once one is accepted, the other learns who won and what differs", async () => {
+        const pushes = [fleet.pusher().push(request(1, "one")), fleet.pusher().push(request(2, "two"))];
+        const results = await settle(Promise.allSettled(pushes), 10);
+        const refused = results.flatMap(result => result.status === "rejected" ? [result.reason as unknown] : []);
+        expect(refused).toHaveLength(1);
+        expect(refused[0]).toBeInstanceOf(PushConflictError);
+        expect(refused[0]).toMatchObject({
+            winner: { version: 1, author: "one" },
+            differences: [{
+                kind: "weight-store",
+                cells: [{ column: "megabytes_per_second", before: "1", after: "2" }],
+            }],
+        });
+        expect(await fleet.pusher().history(9)).toHaveLength(1);
+    });
+
+    test("a push made from an older version is refused", async () => {
+        await fleet.pusher().push(request(1));
+        await fleet.pusher().push(request(2));
+        await expect(fleet.pusher().push({ ...request(3), parent: 1 })).rejects.toThrow(PushConflictError);
+    });
+
+    test("a push whose answer was lost is recognised as accepted", async () => {
+        const platform = fleet.platform.access();
+        platform.faults.loseAnswers = 1;
+        expect(await settle(fleet.pusher(platform).push(request(1)), 1_000)).toMatchObject({ version: 1 });
+        expect((await fleet.pusher().history(9)).map(record => record.pushId)).toEqual(["push-1"]);
+    });
+
+    test("a push whose answer was lost is accepted although another went on top of it", async () => {
+        const platform = fleet.platform.access();
+        platform.faults.loseAnswers = 1;
+        const first = fleet.pusher(platform).push(request(1));
+        await jest.advanceTimersByTimeAsync(10);
+        await fleet.pusher().push(request(2));
+        expect(await settle(first, 1_000)).toMatchObject({ version: 1, pushId: "push-1" });
+    });
+
+    test("an outage in the middle leaves the push unsettled with its ID, one before it leaves nothing written", async () => {
+        const platform = fleet.platform.access();
+        platform.faults.loseAnswers = 1;
+        const unsettled = fleet.pusher(platform).push(request(1));
+        unsettled.catch(() => undefined);
+        await jest.advanceTimersByTimeAsync(10);
+        platform.faults.availability = Availability.refusing;
+        await expect(settle(unsettled, 30_000)).rejects.toThrow(PushUnsettledError);
+        await expect(fleet.pusher(platform).push(request(2))).rejects.toThrow(PlatformUnavailableError);
+    });
+
+    test("a faulty sheet is not written", async () => {
+        await expect(fleet.pusher().push({ sheet: "kind\ntruck", author: "x" })).rejects.toThrow(SheetInvalidError);
+        expect(await fleet.pusher().history(9)).toEqual([]);
+    });
+
+    test("reports where a version is in force and who has not confirmed", async () => {
+        fleet.add(true);
+        const cut = fleet.add(true);
+        await settle(Promise.all(fleet.routers.map(router => router.store.start())), 4_000);
+        cut.platform.faults.availability = Availability.hanging;
+        fleet.groups.set(cut.id, 1);
+        const pusher = fleet.pusher();
+        const { version } = await settle(pusher.push(request(1)), 10);
+        const report = await settle(pusher.awaitInForce(version, 5_000), 6_000);
+        expect(report.confirmed.map(each => each.routerId)).toEqual(["router-0"]);
+        expect(report.unconfirmed.map(each => each.routerId)).toEqual(["router-1"]);
+    });
+
+    test("old versions are shown, compared and rolled back to as new ones", async () => {
+        const pusher = fleet.pusher();
+        await pusher.push(request(1));
+        await pusher.push(request(2));
+        expect(await pusher.show(1)).toMatchObject({ sheet: sheetOf(1), record: { version: 1, parent: 0 } });
+        expect(await pusher.diff(sheetOf(2))).toEqual([]);
+        expect(await pusher.rollBack(1, "operator")).toMatchObject({ version: 3, parent: 2, author: "operator" });
+        expect(await pusher.show()).toMatchObject({ sheet: sheetOf(1) });
+        await expect(pusher.show(9)).rejects.toThrow(VersionNotFoundError);
+    });
+
+    test("keeps a number of versions and removes older ones with their chunks", async () => {
+        const pusher = fleet.pusher();
+        for (let rate = 1; rate <= pusher.keptVersionTotal + 5; rate++) {
+            await pusher.push(request(rate));
+        }
+        const records = await pusher.history(Number.MAX_SAFE_INTEGER);
+        expect(records).toHaveLength(pusher.keptVersionTotal);
+        expect(records.at(-1)?.version).toBe(6);
+        const keys = await fleet.platform.list("pomelostall/configuration/chunks/", 1_000);
+        expect(keys).toHaveLength(pusher.keptVersionTotal);
+    });
+
+    test("a sheet over the value limit is stored in chunks", async () => {
+        // Digits without a pattern, so that compression does not bring them under the limit.
+        let state = 1;
+        const noise = Array.from({ length: 2 * chunkBytes }, () => {
+            state = (Math.imul(state, 1_103_515_245) + 12_345) >>> 0;
+            return String.fromCharCode(48 + (state >>> 16) % 64);
+        }).join("");
+        const sheet = `kind,megabytes_per_second,comment\nweight-store,1,"${noise.replaceAll('"', "")}"\n`;
+        await fleet.pusher().push({ sheet, author: "planner" });
+        const chunks = await fleet.platform.list("pomelostall/configuration/chunks/", 1_000);
+        expect(chunks.length).toBeGreaterThan(1);
+        expect((await fleet.pusher().show()).sheet).toBe(sheet);
+    });
+});
