--- /dev/null
+++ b/src/cli/commands/sheet.ts
@@ -0,0 +1,239 @@
+/** `pomelostall sheet`: check, compare, push and look back at the operators' sheet. */
+import { Command, InvalidArgumentError, Option } from "commander";
+import { randomUUID } from "node:crypto";
+import { readFile } from "node:fs/promises";
+import { userInfo } from "node:os";
+import { PushConflictError, SheetFileError, SheetInvalidError } from "../../errors/index.js";
+import { PushService } from "../../process/configuration/index.js";
+import { HttpKeyValueService, HttpPlatformClient } from "../../process/platform/index.js";
+import { diffSheets, parseSheet } from "../../version/sheet/index.js";
+import { type CommandContext, EnvironmentName, ExitCode } from "../context.js";
+import { OperatorFleetVersions } from "../fleet-versions.js";
+import { OperatorClient } from "../operator-client.js";
+import { formatDifferences, formatFaults, formatInForce, formatRecord } from "../sheet-output.js";
+
+interface SharedOptions {
+    readonly json?: boolean;
+    readonly platform?: string;
+    readonly router?: string;
+}
+
+interface PushOptions extends SharedOptions {
+    readonly author: string;
+    readonly parent?: number;
+    readonly wait: number;
+}
+
+const defaultPlatformAddress = "http://127.0.0.1:2379";
+const defaultWaitSeconds = 10;
+const defaultHistoryLength = 20;
+const millisecondsPerSecond = 1_000;
+
+export function createSheetCommand(context: CommandContext): Command {
+    const sheet = new Command("sheet").description("Check, compare, push and look back at the sheet (docs/SHEET.md)");
+    sheet.addCommand(createCheck(context));
+    sheet.addCommand(createDiff(context));
+    sheet.addCommand(createPush(context));
+    sheet.addCommand(createShow(context));
+    sheet.addCommand(createHistory(context));
+    sheet.addCommand(createRollBack(context));
+    return sheet;
+}
+
+function createCheck(context: CommandContext): Command {
+    return new Command("check")
+        .description("List every fault of a sheet; exit code 1 if there is one")
+        .argument("<file>", "the sheet, as CSV")
+        .option("--json", "print the faults as JSON")
+        .addHelpText("after", "\nExample:\n  pomelostall sheet check examples/haddow.csv")
+        .action(async (file: string, options: SharedOptions) => {
+            const text = await readSheet(file);
+            await reportingRefusals(context, options, async () => {
+                parseSheet(text);
+                print(context, options, { faults: [] }, "no faults\n");
+            });
+        });
+}
+
+function createDiff(context: CommandContext): Command {
+    return withPlatform(new Command("diff"))
+        .description("Show the rows that differ from the accepted version, or another one, to a sheet")
+        .argument("<file>", "the sheet, as CSV")
+        .option("--from <version>", "version to compare with", parseVersion)
+        .addHelpText("after", "\nExample:\n  pomelostall sheet diff monday.csv --from 41")
+        .action(async (file: string, options: SharedOptions & { from?: number; }) => {
+            const text = await readSheet(file);
+            await reportingRefusals(context, options, () =>
+                withPushService(context, options, async service => {
+                    const differences = await service.diff(text, options.from);
+                    print(context, options, { differences }, formatDifferences(differences));
+                }));
+        });
+}
+
+function createPush(context: CommandContext): Command {
+    return withPush(new Command("push"))
+        .description("Push a sheet and wait until every router has it in force")
+        .argument("<file>", "the sheet, as CSV")
+        .option("--parent <version>", "version the sheet was made from; any other head is a conflict", parseVersion)
+        .addHelpText(
+            "after",
+            "\nExit codes: 0 in force everywhere; 1 faults, a conflict, or not confirmed in time; 3 no platform."
+                + "\n\nExamples:\n  pomelostall sheet push monday.csv\n  pomelostall sheet push monday.csv --parent 41 --wait 30",
+        )
+        .action(async (file: string, options: PushOptions) => {
+            const sheet = await readSheet(file);
+            await reportingRefusals(context, options, () =>
+                withPushService(context, options, async service => {
+                    const { author, parent } = options;
+                    await reportPush(context, options, service, () => service.push({ sheet, author, parent }));
+                }));
+        });
+}
+
+function createRollBack(context: CommandContext): Command {
+    return withPush(new Command("rollback"))
+        .description("Push the sheet of an old version as a new version")
+        .argument("<version>", "version to go back to", parseVersion)
+        .addHelpText("after", "\nExample:\n  pomelostall sheet rollback 41")
+        .action((version: number, options: PushOptions) =>
+            withPushService(
+                context,
+                options,
+                service => reportPush(context, options, service, () => service.rollBack(version, options.author)),
+            )
+        );
+}
+
+function createShow(context: CommandContext): Command {
+    return withPlatform(new Command("show"))
+        .description("Print the sheet of a version, or of the accepted one")
+        .argument("[version]", "version to print", parseVersion)
+        .addHelpText("after", "\nExample:\n  pomelostall sheet show 41 > monday.csv")
+        .action((version: number | undefined, options: SharedOptions) =>
+            withPushService(context, options, async service => {
+                const shown = await service.show(version);
+                print(context, options, shown, shown.sheet);
+            })
+        );
+}
+
+function createHistory(context: CommandContext): Command {
+    return withPlatform(new Command("history"))
+        .description("List the accepted versions, the newest first")
+        .option("--limit <count>", "versions to list", parseVersion, defaultHistoryLength)
+        .addHelpText("after", "\nExample:\n  pomelostall sheet history --limit 5")
+        .action((options: SharedOptions & { limit: number; }) =>
+            withPushService(context, options, async service => {
+                const versions = await service.history(options.limit);
+                const { keptVersionTotal } = service;
+                const text = `${versions.map(formatRecord).join("")}the last ${keptVersionTotal} versions are kept\n`;
+                print(context, options, { versions, keptVersionTotal }, text);
+            })
+        );
+}
+
+async function reportPush(
+    context: CommandContext,
+    options: PushOptions,
+    service: PushService,
+    push: () => ReturnType<PushService["push"]>,
+): Promise<void> {
+    const record = await push();
+    if (options.json !== true) {
+        context.output.write(`accepted ${formatRecord(record)}`);
+    }
+    const report = await service.awaitInForce(record.version, options.wait * millisecondsPerSecond);
+    print(context, options, { record, inForce: report }, formatInForce(report));
+    if (report.confirmed.length === 0 || report.unconfirmed.length > 0) {
+        context.setExitCode(ExitCode.failure);
+    }
+}
+
+function withPlatform(command: Command): Command {
+    return command
+        .option(
+            "--platform <urls>",
+            `base URLs of the platform, separated by commas (${EnvironmentName.keyValueAddresses})`,
+        )
+        .option("--router <url>", `operator interface of a router (${EnvironmentName.operatorAddress})`)
+        .option("--json", "print JSON");
+}
+
+function withPush(command: Command): Command {
+    return withPlatform(command)
+        .option("--author <name>", "who pushes", userInfo().username)
+        .addOption(
+            new Option("--wait <seconds>", "longest wait for every router").argParser(Number).default(
+                defaultWaitSeconds,
+            ),
+        );
+}
+
+function parseVersion(text: string): number {
+    if (!/^\d+$/.test(text)) {
+        throw new InvalidArgumentError("It must be a whole number.");
+    }
+    return Number(text);
+}
+
+async function withPushService(
+    context: CommandContext,
+    options: SharedOptions,
+    act: (service: PushService) => Promise<void>,
+): Promise<void> {
+    const addresses = options.platform ?? context.environment[EnvironmentName.keyValueAddresses]
+        ?? defaultPlatformAddress;
+    const client = new HttpPlatformClient(addresses.split(","));
+    const service = new PushService({
+        keyValueService: new HttpKeyValueService(client),
+        check: sheet => void parseSheet(sheet),
+        compare: diffSheets,
+        fleetVersions: new OperatorFleetVersions(OperatorClient.fromContext(context, options.router)),
+        createPushId: randomUUID,
+        wallClock: () => new Date(),
+    });
+    try {
+        await act(service);
+    }
+    finally {
+        await client.close();
+    }
+}
+
+async function reportingRefusals(
+    context: CommandContext,
+    options: SharedOptions,
+    act: () => Promise<void>,
+): Promise<void> {
+    try {
+        await act();
+    }
+    catch (error) {
+        if (error instanceof SheetInvalidError) {
+            print(context, options, { faults: error.faults }, formatFaults(error.faults));
+        }
+        else if (error instanceof PushConflictError) {
+            const { winner, differences } = error;
+            const text = `not accepted; ${formatRecord(winner)}was accepted first\n${formatDifferences(differences)}`;
+            print(context, options, { conflict: { winner, differences } }, text);
+        }
+        else {
+            throw error;
+        }
+        context.setExitCode(ExitCode.failure);
+    }
+}
+
+async function readSheet(file: string): Promise<string> {
+    try {
+        return await readFile(file, "utf8");
+    }
+    catch (error) {
+        throw new SheetFileError(`${file} cannot be read.`, error);
+    }
+}
+
+function print(context: CommandContext, options: SharedOptions, value: unknown, text: string): void {
+    context.output.write(options.json === true ? `${JSON.stringify(value)}\n` : text);
+}
--- a/src/cli/sheet-output.ts
+++ b/src/cli/sheet-output.ts
@@ -33,7 +33,8 @@
         return "no router could be asked whether it is in force\n";
     }
     const total = confirmed.length + unconfirmed.length;
-    const first = `version ${version} is in force in ${confirmed.length} of ${total} routers after ${waitedMilliseconds} ms\n`;
+    const first =
+        `version ${version} is in force in ${confirmed.length} of ${total} routers after ${waitedMilliseconds} ms\n`;
     const missing = unconfirmed.map(router =>
         `not confirmed: ${router.routerId} in ${router.availabilityZone}, at version ${router.version}\n`
     );
--- a/src/errors/sheet-errors.ts
+++ b/src/errors/sheet-errors.ts
@@ -34,3 +34,16 @@
     const found = fault.found === "" ? "an empty cell" : `"${fault.found}"`;
     return `row ${fault.row}, column ${fault.column}: found ${found}; accepted: ${fault.accepted}`;
 }
+
+const sheetFileDefinition = defineError({
+    code: "sheet-file-unreadable",
+    title: "The sheet's file cannot be read",
+    hint: "Check the file's name and its permissions.",
+});
+
+/** A sheet's file that cannot be read. */
+export class SheetFileError extends PomelostallError {
+    constructor(message: string, cause?: unknown) {
+        super(sheetFileDefinition, message, { cause });
+    }
+}
