--- /dev/null
+++ b/bench/placement-fleet.ts
@@ -0,0 +1,144 @@
+/** A seeded fleet of mixed backend servers with models and demand, for benchmarks and tests of placement. */
+import { randomInteger, type RandomSource } from "../src/common/random.js";
+import type { BackendServerClass } from "../src/domain/backend-server.js";
+import type { ModelDescription } from "../src/domain/model.js";
+import type { Topology } from "../src/domain/topology.js";
+import type { PlacementDemand, PlacementInput, PlacementServer } from "../src/process/placement/types.js";
+
+const gigabyte = 1e9;
+
+function serverClass(
+    name: string,
+    memoryGigabytes: number,
+    layerTokensPerSecond: number,
+    honoursFencing: boolean,
+): BackendServerClass {
+    return {
+        name,
+        acceleratorKind: name,
+        acceleratorCount: 1,
+        memoryBytes: memoryGigabytes * gigabyte,
+        layerTokensPerSecond,
+        honoursFencing,
+        checksOrders: false,
+    };
+}
+
+/** Three kinds of accelerators, one to a VM. */
+export const fleetClasses = [
+    serverClass("large", 80, 40_000, true),
+    serverClass("medium", 48, 22_000, true),
+    serverClass("small", 24, 9_000, false),
+] as const;
+
+const modelSizes = [
+    [32, 0.4],
+    [32, 0.4],
+    [40, 0.6],
+    [48, 0.9],
+    [64, 1.1],
+    [80, 1.7],
+] as const;
+
+/** Six models; the first has the fewest layers. */
+export function fleetModels(total: number = modelSizes.length): ReadonlyMap<string, ModelDescription> {
+    return new Map(
+        modelSizes.slice(0, total).map(([layerTotal, layerGigabytes], index) => [`model-${index}`, {
+            name: `model-${index}`,
+            version: "1",
+            layerTotal,
+            layerBytes: layerGigabytes * gigabyte,
+            activationBytes: 16_384,
+            cacheBytesPerTokenLayer: 4_096,
+            adapters: [],
+            maximumTokens: 4_096,
+        }]),
+    );
+}
+
+/** Links that differ a hundredfold: 10 GB/s in a zone, 1 GB/s in a region, 100 MB/s between regions. */
+export const fleetTopology: Topology = {
+    link: (from, to) => {
+        if (from.region !== to.region) {
+            return { latencyMilliseconds: 30, bytesPerSecond: 1e8 };
+        }
+        return from.availabilityZone === to.availabilityZone
+            ? { latencyMilliseconds: 0.05, bytesPerSecond: 1e10 }
+            : { latencyMilliseconds: 0.5, bytesPerSecond: 1e9 };
+    },
+};
+
+export interface FleetSize {
+    readonly regions: number;
+    readonly zonesPerRegion: number;
+    readonly servers: number;
+    readonly models?: number;
+}
+
+export function fleetServer(
+    id: number,
+    region: string,
+    availabilityZone: string,
+    random: RandomSource,
+): PlacementServer {
+    return {
+        description: {
+            id: `server-${String(id).padStart(5, "0")}`,
+            address: `http://127.0.0.1:${10_000 + id}`,
+            region,
+            availabilityZone,
+            class: fleetClasses[randomInteger(random, fleetClasses.length)]!,
+            incarnation: 1,
+        },
+        holdings: [],
+        role: "mixed",
+        draining: false,
+    };
+}
+
+/** An empty fleet with uneven demand of many customers. */
+export function createFleetInput(random: RandomSource, size: FleetSize): PlacementInput {
+    const zoneTotal = size.regions * size.zonesPerRegion;
+    const servers = Array.from({ length: size.servers }, (_, index) => {
+        const zone = index % zoneTotal;
+        const region = `region-${Math.floor(zone / size.zonesPerRegion)}`;
+        return fleetServer(index, region, `${region}-zone-${zone % size.zonesPerRegion}`, random);
+    });
+    const models = fleetModels(size.models);
+    const demand: PlacementDemand[] = [...models.keys()].flatMap(model =>
+        Array.from({ length: 5 }, (_, index) => ({
+            model,
+            customer: `customer-${index}`,
+            tokensPerSecond: 500 + randomInteger(random, 5_000),
+        }))
+    );
+    return { configurationVersion: 1, servers, models, demand, topology: fleetTopology };
+}
+
+/** The input after the assignments of a plan were carried out. */
+export function withHoldings(
+    input: PlacementInput,
+    assignments: ReadonlyMap<
+        string,
+        {
+            readonly model: string;
+            readonly modelVersion: string;
+            readonly layers: { readonly first: number; readonly last: number; };
+            readonly adapters: readonly string[];
+        }
+    >,
+): PlacementInput {
+    const servers = input.servers.map(server => {
+        const assignment = assignments.get(server.description.id);
+        return assignment === undefined ? server : {
+            ...server,
+            holdings: [{
+                model: assignment.model,
+                modelVersion: assignment.modelVersion,
+                layers: assignment.layers,
+                adapters: assignment.adapters,
+            }],
+        };
+    });
+    return { ...input, servers };
+}
--- a/src/domain/flow/maximum-flow.ts
+++ b/src/domain/flow/maximum-flow.ts
@@ -35,13 +35,25 @@
 
     /** Computes the largest flow from the source to the sink, anew with each call. */
     solve(source: number, sink: number): number {
+        const steps = this.solveInSteps(source, sink);
+        let step = steps.next();
+        while (step.done !== true) {
+            step = steps.next();
+        }
+        return step.value;
+    }
+
+    /** Like `solve`, with a `yield` before each round and each path, so that a caller can let other work run. */
+    *solveInSteps(source: number, sink: number): Generator<void, number> {
         this.capacities.forEach((capacity, edge) => this.residual[edge] = capacity);
         let total = 0;
         while (this.buildLevels(source, sink)) {
             this.cursor.set(this.firstEdge);
+            yield;
             let pushed = this.push(source, sink, Number.POSITIVE_INFINITY);
             while (pushed > tolerance) {
                 total += pushed;
+                yield;
                 pushed = this.push(source, sink, Number.POSITIVE_INFINITY);
             }
         }
