--- /dev/null
+++ b/src/request/admission/adaptive-token-limit.ts
@@ -0,0 +1,75 @@
+/**
+ * The tokens of work that this router may have under way, following what the backend servers really do: it falls by a
+ * factor while first tokens come late or work is refused as overload, and rises by a share while it is in full use.
+ */
+import { monotonicNow } from "../../common/clock.js";
+import type { Metrics } from "../../common/metrics.js";
+import {
+    congestedFirstTokenMilliseconds,
+    limitAdjustPeriodMilliseconds,
+    limitDecreaseFactor,
+    limitIncreaseShare,
+    limitUseForIncrease,
+    minimumTokenLimit,
+} from "./constants.js";
+
+/** What answers tell of the backend servers' load. */
+export interface CapacitySignals {
+    /** Time from an attempt's dispatch to its first token. */
+    firstToken(milliseconds: number): void;
+    /** A backend server refused an attempt because it has too many. */
+    overloaded(): void;
+}
+
+export class AdaptiveTokenLimit implements CapacitySignals {
+    private adjustedAt = monotonicNow();
+    private samples = 0;
+    private lateSamples = 0;
+    private highestUse = 0;
+
+    constructor(
+        private limit: number,
+        private readonly metrics: Metrics,
+        private readonly congestedMilliseconds: number = congestedFirstTokenMilliseconds,
+    ) {}
+
+    get tokens(): number {
+        return this.limit;
+    }
+
+    /** Notes the tokens under way. */
+    used(tokens: number): void {
+        this.highestUse = Math.max(this.highestUse, tokens);
+    }
+
+    firstToken(milliseconds: number): void {
+        this.samples++;
+        this.lateSamples += milliseconds > this.congestedMilliseconds ? 1 : 0;
+        this.adjust();
+    }
+
+    overloaded(): void {
+        this.samples++;
+        this.lateSamples++;
+        this.adjust();
+    }
+
+    private adjust(): void {
+        const now = monotonicNow();
+        if (now - this.adjustedAt < limitAdjustPeriodMilliseconds) {
+            return;
+        }
+        // More than one in ten late means that the work waits at the backend servers.
+        if (this.lateSamples * 10 > this.samples) {
+            this.limit = Math.max(minimumTokenLimit, this.limit * limitDecreaseFactor);
+        }
+        else if (this.highestUse >= this.limit * limitUseForIncrease) {
+            this.limit *= 1 + limitIncreaseShare;
+        }
+        this.metrics.gauge("pomelostall.admission.token_limit", this.limit);
+        this.adjustedAt = now;
+        this.samples = 0;
+        this.lateSamples = 0;
+        this.highestUse = 0;
+    }
+}
--- a/src/request/answer/answer-run.ts
+++ b/src/request/answer/answer-run.ts
@@ -54,6 +54,7 @@
     private paused = false;
     /** Whether the present attempt has sent no token yet. */
     private awaitsFirstToken = true;
+    private dispatchedAt = 0;
     private finished = false;
     /** When the last attempt failed, until the caller's next token. */
     private failedAt: number | undefined;
@@ -98,6 +99,7 @@
         this.fruitlessAttempts = 0;
         if (this.awaitsFirstToken) {
             this.awaitsFirstToken = false;
+            this.dependencies.capacity.firstToken(monotonicNow() - this.dispatchedAt);
             this.watch();
         }
         if (this.failedAt !== undefined) {
@@ -188,6 +190,9 @@
                 if (failure.reason === "draining") {
                     health.draining(failure.backendServer!);
                 }
+                else if (failure.reason === "overloaded") {
+                    this.dependencies.capacity.overloaded();
+                }
                 return;
             case AttemptFailureKind.connectionSilent:
             case AttemptFailureKind.stalled:
@@ -275,6 +280,7 @@
         const id = randomUUID();
         this.attempts++;
         this.awaitsFirstToken = true;
+        this.dispatchedAt = monotonicNow();
         logger.decision({
             kind: this.attempts === 1 ? "pipeline" : "recovery",
             chosen: plan.stages.map(stage => stage.backendServer).join(">"),
