--- a/src/request/answer/answer-run.ts
+++ b/src/request/answer/answer-run.ts
@@ -99,7 +99,7 @@
         this.fruitlessAttempts = 0;
         if (this.awaitsFirstToken) {
             this.awaitsFirstToken = false;
-            this.dependencies.capacity.firstToken(monotonicNow() - this.dispatchedAt);
+            this.dependencies.capacity?.firstToken(monotonicNow() - this.dispatchedAt);
             this.watch();
         }
         if (this.failedAt !== undefined) {
@@ -191,7 +191,7 @@
                     health.draining(failure.backendServer!);
                 }
                 else if (failure.reason === "overloaded") {
-                    this.dependencies.capacity.overloaded();
+                    this.dependencies.capacity?.overloaded();
                 }
                 return;
             case AttemptFailureKind.connectionSilent:
--- a/src/request/answer/dependencies.ts
+++ b/src/request/answer/dependencies.ts
@@ -15,7 +15,7 @@
     readonly health: BackendServerHealth;
     readonly retryBudgets: RetryBudgets;
     /** Told of first-token times and overload, so that admission follows them. */
-    readonly capacity: CapacitySignals;
+    readonly capacity?: CapacitySignals;
     readonly random: RandomSource;
     readonly logger: Logger;
     readonly metrics: Metrics;
