--- /dev/null
+++ b/src/request/pipeline-choice/simple-choosers.ts
@@ -0,0 +1,60 @@
+/** Baselines for the choice of a pipeline: round robin, and the fewest own requests in flight. */
+import { randomUUID } from "node:crypto";
+import { monotonicNow } from "../../common/clock.js";
+import { PipelinePlan, type Stage } from "../../domain/pipeline-plan.js";
+import { NoPipelineError } from "../../errors/index.js";
+import type { BackendServerSource, PipelineGraphs } from "../../version/pipeline-graph/pipeline-graphs.js";
+import type { PipelineServer } from "../../version/pipeline-graph/types.js";
+import type { PipelineChoice, PipelineChooser, PipelineRequest } from "./types.js";
+
+/** Builds a plan layer by layer, each time with the server that a rule picks among those that hold the next layer. */
+abstract class LayerByLayerChooser implements PipelineChooser {
+    constructor(protected readonly graphs: PipelineGraphs, protected readonly servers: BackendServerSource) {}
+
+    protected abstract pick(candidates: readonly PipelineServer[]): PipelineServer;
+
+    choose(request: PipelineRequest): PipelineChoice {
+        const now = monotonicNow();
+        const usable = this.graphs.get(request.model).servers.filter(server =>
+            !request.excluded.has(server.id) && (this.servers.get(server.id)?.isUsable(now) ?? false)
+            && (request.adapter === undefined || server.adapters.includes(request.adapter))
+        );
+        const { name, layerTotal } = request.model;
+        const stages: Stage[] = [];
+        for (let layer = 0; layer < layerTotal;) {
+            const candidates = usable.filter(({ layers }) => layers.first <= layer && layer <= layers.last);
+            if (candidates.length === 0) {
+                throw new NoPipelineError(name);
+            }
+            const { id, address, layers } = this.pick(candidates);
+            stages.push({ backendServer: id, address, layers: { first: layer, last: layers.last } });
+            layer = layers.last + 1;
+        }
+        return {
+            plan: new PipelinePlan(randomUUID(), name, layerTotal, stages),
+            expectedFirstTokenMilliseconds: 0,
+            expectedTokenMilliseconds: 0,
+            recomputedTokens: request.promptTokens + request.generatedTokens,
+            considered: usable.map(server => server.id),
+            reason: "baseline",
+        };
+    }
+}
+
+/** Takes the servers of each layer in turn. */
+export class RoundRobinPipelineChooser extends LayerByLayerChooser {
+    private turn = 0;
+
+    protected override pick(candidates: readonly PipelineServer[]): PipelineServer {
+        this.turn++;
+        return candidates[this.turn % candidates.length]!;
+    }
+}
+
+/** Takes the server on which this router has the fewest attempts under way. */
+export class LeastInFlightPipelineChooser extends LayerByLayerChooser {
+    protected override pick(candidates: readonly PipelineServer[]): PipelineServer {
+        const inFlight = (server: PipelineServer) => this.servers.get(server.id)?.ownAttempts ?? 0;
+        return candidates.reduce((best, server) => inFlight(server) < inFlight(best) ? server : best);
+    }
+}
--- a/src/version/pipeline-graph/pipeline-graph.ts
+++ b/src/version/pipeline-graph/pipeline-graph.ts
@@ -4,6 +4,9 @@
 import { computeThroughputBound } from "./throughput-bound.js";
 import type { PipelineServer, ServerGroup, ThroughputBound } from "./types.js";
 
+/** Boundaries up to which the bound is computed on the way of a request. */
+const maximumQuickBoundaries = 20;
+
 export class PipelineGraph {
     /** Layer boundaries at which a pipeline may change servers, from 0 to the number of layers. */
     readonly boundaries: readonly number[];
@@ -16,6 +19,8 @@
         readonly model: ModelDescription,
         readonly topology: Topology,
         readonly servers: readonly PipelineServer[],
+        /** Share of the links' bandwidth that these servers may count on. */
+        private readonly linkShare = 1,
     ) {
         this.boundaries = collectBoundaries(model.layerTotal, servers);
         this.locations = collectLocations(servers);
@@ -35,11 +40,16 @@
             groups: this.groups,
             locationTotal: this.locations.length,
             activationBytes: this.model.activationBytes,
-            bytesPerSecond: (from, to) => this.link(from, to).bytesPerSecond,
+            bytesPerSecond: (from, to) => this.link(from, to).bytesPerSecond * this.linkShare,
         });
         return this.computedBound;
     }
 
+    /** Whether computing the bound takes only a few milliseconds. */
+    get boundIsQuick(): boolean {
+        return this.boundaries.length <= maximumQuickBoundaries;
+    }
+
     /** Whether the servers hold every layer. */
     get isComplete(): boolean {
         let reached = 0;
