--- a/src/process/backend-servers/prefix-index.ts
+++ b/src/process/backend-servers/prefix-index.ts
@@ -51,6 +51,9 @@
     /** For each server that is believed to hold some of the prompt's prefix, how many of its blocks. */
     match(prefixBlocks: readonly string[]): Map<string, number> {
         const matched = new Map<string, number>();
+        if (this.periods.size === 0) {
+            return matched;
+        }
         for (let index = prefixBlocks.length - 1; index >= 0; index--) {
             for (const period of this.holders.get(prefixBlocks[index]!) ?? []) {
                 if (period.valid && !matched.has(period.backendServer)) {
--- a/src/request/pipeline-choice/candidate-index.ts
+++ b/src/request/pipeline-choice/candidate-index.ts
@@ -14,6 +14,9 @@
     readonly record: BackendServerRecord;
     /** Index into the graph's locations. */
     readonly location: number;
+    /** Indexes into the graph's boundaries. */
+    readonly firstBoundary: number;
+    readonly endBoundary: number;
     readonly weight: number;
     readonly group: CandidateGroup;
 }
@@ -48,7 +51,7 @@
             first = group;
             groups.push({ candidates: [] });
         }
-        addMembers(groups.at(-1)!, group, weight, find);
+        addMembers(graph, groups.at(-1)!, group, weight, find);
     }
     const routerLatencies = graph.locations.map(to => graph.topology.link(routerLocation, to).latencyMilliseconds);
     return { graph, groups, routerLatencies, find };
@@ -85,6 +88,7 @@
 }
 
 function addMembers(
+    graph: PipelineGraph,
     target: CandidateGroup,
     group: ServerGroup,
     weight: number,
@@ -97,6 +101,8 @@
                 server,
                 record,
                 location: group.location,
+                firstBoundary: graph.boundaries.indexOf(group.layers.first),
+                endBoundary: graph.boundaries.indexOf(group.layers.last + 1),
                 weight: weight * server.layerTokensPerSecond,
                 group: target,
             });
--- a/src/request/pipeline-choice/chosen-pipeline.ts
+++ b/src/request/pipeline-choice/chosen-pipeline.ts
@@ -40,7 +40,7 @@
         const layers = terms.boundaries[step.endBoundary]! - terms.boundaries[step.firstBoundary]!;
         const isWhole = step.phase === Phase.whole;
         first += option.entryFirstMilliseconds
-            + layers * (isWhole ? option.wholeLayerFirstMilliseconds : option.cachedLayerFirstMilliseconds);
+            + layers * option.layerFirstMilliseconds(terms, step.phase);
         token += option.entryTokenMilliseconds + layers * option.layerTokenMilliseconds;
         recomputedTokens = Math.max(recomputedTokens, isWhole ? terms.wholeTokens : terms.cachedTokens);
         if (index > 0) {
--- a/src/request/pipeline-choice/cost-pipeline-chooser.ts
+++ b/src/request/pipeline-choice/cost-pipeline-chooser.ts
@@ -17,7 +17,7 @@
 import { affinityAttemptAllowance, affinityLoadFactor, choicesInGroup } from "./constants.js";
 import { findShortestPath, Phase, type SearchPath } from "./layered-search.js";
 import { estimateLoad, type LoadEstimate, meanLoad } from "./load-estimate.js";
-import { type SearchTerms, type StageOption, stageOptions } from "./stage-options.js";
+import { addStageOptions, type SearchTerms, type StageOption } from "./stage-options.js";
 import type { PipelineChoice, PipelineChooser, PipelineRequest } from "./types.js";
 
 export interface PipelineChooserOptions {
@@ -132,9 +132,11 @@
             wholeTokens,
             cachedTokens: Math.max(1, wholeTokens - heldTokens),
         };
-        const options = collected.flatMap(({ candidate, load, believedBlocks }) =>
-            stageOptions(terms, candidate, load, blocks !== undefined && blocks > 0 && believedBlocks >= blocks)
-        );
+        const options: StageOption[] = [];
+        for (const { candidate, load, believedBlocks } of collected) {
+            const believed = blocks !== undefined && blocks > 0 && believedBlocks >= blocks;
+            addStageOptions(options, terms, candidate, load, believed);
+        }
         const path = findShortestPath(this.problem(terms, options));
         return path === undefined ? undefined : { terms, options, path };
     }
--- a/src/request/pipeline-choice/layered-search.ts
+++ b/src/request/pipeline-choice/layered-search.ts
@@ -52,6 +52,39 @@
 const phaseTotal = 2;
 const none = -1;
 
+/** A row of numbers that grows when needed and is used again by the next search. */
+class Scratch<Row extends Float64Array | Int32Array> {
+    constructor(public row: Row, private readonly create: (length: number) => Row) {}
+
+    reserve(length: number): Row {
+        if (this.row.length < length) {
+            this.row = this.create(2 * length);
+        }
+        return this.row;
+    }
+}
+
+function scratchNumbers(): Scratch<Float64Array> {
+    return new Scratch(new Float64Array(0), length => new Float64Array(length));
+}
+
+function scratchIndexes(): Scratch<Int32Array> {
+    return new Scratch(new Int32Array(0), length => new Int32Array(length));
+}
+
+const scratch = {
+    arrivalCost: scratchNumbers(),
+    arrivalOption: scratchIndexes(),
+    arrivalEntry: scratchIndexes(),
+    arrivalPrevious: scratchIndexes(),
+    running: scratchNumbers(),
+    entry: scratchIndexes(),
+    previous: scratchIndexes(),
+    reach: scratchNumbers(),
+    reachedFrom: scratchIndexes(),
+    links: scratchNumbers(),
+};
+
 /** How the cheapest arrival at a boundary, location and phase was made. */
 interface Arrivals {
     readonly cost: Float64Array;
@@ -63,7 +96,11 @@
 
 class Search {
     private readonly arrivals: Arrivals;
+    private readonly arrivalTotal: number;
     private readonly stateTotal: number;
+    private readonly runningTotal: number;
+    /** For each segment, the options that can run it. */
+    private readonly segmentOptions: readonly number[][];
     /** For each option and phase, the cheapest way of being in it at the present boundary. */
     private readonly running: Float64Array;
     private readonly entry: Int32Array;
@@ -72,31 +109,41 @@
     private readonly reach: Float64Array;
     private readonly reachedFrom: Int32Array;
     private readonly links: Float64Array;
+    /** For each boundary, a cost that no path from there to the end falls short of. */
+    private readonly leastRemaining: readonly number[];
 
     constructor(private readonly problem: SearchProblem) {
         const { boundaries, locationTotal, options } = problem;
         this.stateTotal = locationTotal * phaseTotal;
-        const arrivalTotal = boundaries.length * this.stateTotal;
+        this.arrivalTotal = boundaries.length * this.stateTotal;
         this.arrivals = {
-            cost: new Float64Array(arrivalTotal),
-            option: new Int32Array(arrivalTotal),
-            entryBoundary: new Int32Array(arrivalTotal),
-            previous: new Int32Array(arrivalTotal),
+            cost: scratch.arrivalCost.reserve(this.arrivalTotal),
+            option: scratch.arrivalOption.reserve(this.arrivalTotal),
+            entryBoundary: scratch.arrivalEntry.reserve(this.arrivalTotal),
+            previous: scratch.arrivalPrevious.reserve(this.arrivalTotal),
         };
-        this.running = new Float64Array(options.length * phaseTotal);
-        this.entry = new Int32Array(options.length * phaseTotal);
-        this.previous = new Int32Array(options.length * phaseTotal);
-        this.reach = new Float64Array(this.stateTotal);
-        this.reachedFrom = new Int32Array(this.stateTotal);
+        this.runningTotal = options.length * phaseTotal;
+        this.running = scratch.running.reserve(this.runningTotal);
+        this.entry = scratch.entry.reserve(this.runningTotal);
+        this.previous = scratch.previous.reserve(this.runningTotal);
+        this.reach = scratch.reach.reserve(this.stateTotal);
+        this.reachedFrom = scratch.reachedFrom.reserve(this.stateTotal);
+        this.segmentOptions = boundaries.map(() => []);
+        options.forEach((option, index) => {
+            for (let segment = option.firstBoundary; segment < option.endBoundary; segment++) {
+                this.segmentOptions[segment]!.push(index);
+            }
+        });
         this.links = this.tabulateLinks();
+        this.leastRemaining = this.tabulateLeastRemaining();
     }
 
     /** The cheapest path, or undefined when the options leave a gap. */
     run(): SearchPath | undefined {
         let best: SearchPath | undefined;
         for (const first of this.startLocations()) {
-            if (this.problem.startCost(first) < (best?.cost ?? Number.POSITIVE_INFINITY)) {
-                this.searchFrom(first);
+            const limit = best?.cost ?? Number.POSITIVE_INFINITY;
+            if (this.problem.startCost(first) < limit && this.searchFrom(first, limit)) {
                 best = this.better(best, first);
             }
         }
@@ -105,7 +152,7 @@
 
     private tabulateLinks(): Float64Array {
         const { locationTotal } = this.problem;
-        const links = new Float64Array(locationTotal * locationTotal * phaseTotal);
+        const links = scratch.links.reserve(locationTotal * locationTotal * phaseTotal);
         for (let from = 0; from < locationTotal; from++) {
             for (let to = 0; to < locationTotal; to++) {
                 const index = (from * locationTotal + to) * phaseTotal;
@@ -116,6 +163,20 @@
         return links;
     }
 
+    private tabulateLeastRemaining(): number[] {
+        const { boundaries, options } = this.problem;
+        const remaining = boundaries.map(() => 0);
+        for (let segment = boundaries.length - 2; segment >= 0; segment--) {
+            let least = Number.POSITIVE_INFINITY;
+            for (const index of this.segmentOptions[segment]!) {
+                const { wholeLayerCost, cachedLayerCost } = options[index]!;
+                least = Math.min(least, cachedLayerCost ?? wholeLayerCost, wholeLayerCost);
+            }
+            remaining[segment] = remaining[segment + 1]! + least * (boundaries[segment + 1]! - boundaries[segment]!);
+        }
+        return remaining;
+    }
+
     private startLocations(): number[] {
         const locations = new Set<number>();
         for (const option of this.problem.options) {
@@ -126,23 +187,28 @@
         return [...locations].sort((left, right) => this.problem.startCost(left) - this.problem.startCost(right));
     }
 
-    private searchFrom(first: number): void {
+    /** False when no path from this location can cost less than the limit. */
+    private searchFrom(first: number, limit: number): boolean {
         const { boundaries } = this.problem;
-        this.running.fill(Number.POSITIVE_INFINITY);
-        this.arrivals.cost.fill(Number.POSITIVE_INFINITY);
+        this.running.fill(Number.POSITIVE_INFINITY, 0, this.runningTotal);
+        this.arrivals.cost.fill(Number.POSITIVE_INFINITY, 0, this.arrivalTotal);
         for (let boundary = 0; boundary + 1 < boundaries.length; boundary++) {
             this.findReach(boundary, first);
-            this.advance(boundary, boundaries[boundary + 1]! - boundaries[boundary]!);
+            const least = this.advance(boundary, boundaries[boundary + 1]! - boundaries[boundary]!);
+            if (least + this.leastRemaining[boundary + 1]! >= limit) {
+                return false;
+            }
         }
+        return true;
     }
 
     /** The cheapest way to each location and phase at a boundary. */
     private findReach(boundary: number, first: number): void {
-        this.reach.fill(Number.POSITIVE_INFINITY);
+        this.reach.fill(Number.POSITIVE_INFINITY, 0, this.stateTotal);
         if (boundary === 0) {
             const cost = this.problem.startCost(first);
             this.reach.fill(cost, first * phaseTotal, (first + 1) * phaseTotal);
-            this.reachedFrom.fill(none);
+            this.reachedFrom.fill(none, 0, this.stateTotal);
             return;
         }
         for (let from = 0; from < this.problem.locationTotal; from++) {
@@ -170,21 +236,23 @@
         }
     }
 
-    /** Enters options where that is cheaper, and takes all of them over the next segment. */
-    private advance(boundary: number, layers: number): void {
+    /** Enters options where that is cheaper, and takes all over the next segment. Gives the least cost of any. */
+    private advance(boundary: number, layers: number): number {
         const { options } = this.problem;
-        for (let index = 0; index < options.length; index++) {
+        let least = Number.POSITIVE_INFINITY;
+        for (const index of this.segmentOptions[boundary]!) {
             const option = options[index]!;
-            if (option.firstBoundary <= boundary && boundary < option.endBoundary) {
-                if (option.cachedLayerCost !== undefined) {
-                    this.step(index, option, Phase.cached, boundary, option.cachedLayerCost * layers);
-                }
-                this.step(index, option, Phase.whole, boundary, option.wholeLayerCost * layers);
+            if (option.cachedLayerCost !== undefined) {
+                const cost = this.step(index, option, Phase.cached, boundary, option.cachedLayerCost * layers);
+                least = Math.min(least, cost);
             }
+            const cost = this.step(index, option, Phase.whole, boundary, option.wholeLayerCost * layers);
+            least = Math.min(least, cost);
         }
+        return least;
     }
 
-    private step(index: number, option: SearchOption, phase: Phase, boundary: number, cost: number): void {
+    private step(index: number, option: SearchOption, phase: Phase, boundary: number, cost: number): number {
         const running = index * phaseTotal + phase;
         const reach = option.location * phaseTotal + phase;
         const entered = this.reach[reach]! + option.entryCost;
@@ -193,14 +261,16 @@
             this.entry[running] = boundary;
             this.previous[running] = this.reachedFrom[reach]!;
         }
-        this.running[running]! += cost;
+        const total = this.running[running]! + cost;
+        this.running[running] = total;
         const arrival = (boundary + 1) * this.stateTotal + reach;
-        if (this.running[running]! < this.arrivals.cost[arrival]!) {
-            this.arrivals.cost[arrival] = this.running[running]!;
+        if (total < this.arrivals.cost[arrival]!) {
+            this.arrivals.cost[arrival] = total;
             this.arrivals.option[arrival] = index;
             this.arrivals.entryBoundary[arrival] = this.entry[running]!;
             this.arrivals.previous[arrival] = this.previous[running]!;
         }
+        return total;
     }
 
     private better(best: SearchPath | undefined, first: number): SearchPath | undefined {
--- a/src/request/pipeline-choice/stage-options.ts
+++ b/src/request/pipeline-choice/stage-options.ts
@@ -4,22 +4,10 @@
 import { transferMilliseconds } from "../../domain/topology.js";
 import type { Candidate, CandidateIndex } from "./candidate-index.js";
 import { minimumStepTokens } from "./constants.js";
-import type { SearchOption } from "./layered-search.js";
+import { Phase, type SearchOption } from "./layered-search.js";
 import type { LoadEstimate } from "./load-estimate.js";
 import type { PipelineRequest, SurvivingStage } from "./types.js";
 
-/** A search option, with what a stage made from it needs. */
-export interface StageOption extends SearchOption {
-    readonly candidate: Candidate;
-    readonly cache: CacheSource | undefined;
-    /** Milliseconds before the first token that do not depend on the layers. */
-    readonly entryFirstMilliseconds: number;
-    readonly entryTokenMilliseconds: number;
-    readonly layerTokenMilliseconds: number;
-    readonly wholeLayerFirstMilliseconds: number;
-    readonly cachedLayerFirstMilliseconds: number;
-}
-
 /** What one search assumes of the request. */
 export interface SearchTerms {
     readonly request: PipelineRequest;
@@ -36,28 +24,82 @@
     readonly layers: LayerRange;
     readonly cache: CacheSource | undefined;
     readonly importMilliseconds: number;
-    readonly hasPrefix: boolean;
 }
 
-/** Builds the options of one server. */
-export function stageOptions(
+/** A search option, with what a stage made from it needs. */
+export class StageOption implements SearchOption {
+    readonly location: number;
+    readonly entryCost: number;
+    readonly cachedLayerCost: number | undefined;
+    readonly wholeLayerCost: number;
+
+    constructor(
+        terms: SearchTerms,
+        readonly candidate: Candidate,
+        private readonly load: LoadEstimate,
+        readonly firstBoundary: number,
+        readonly endBoundary: number,
+        hasPrefix: boolean,
+        readonly cache: CacheSource | undefined,
+        private readonly importMilliseconds: number,
+    ) {
+        const { expectedTokens } = terms.request;
+        const laterCost = expectedTokens * this.layerTokenMilliseconds;
+        this.location = candidate.location;
+        this.entryCost = this.entryFirstMilliseconds + expectedTokens * this.entryTokenMilliseconds;
+        this.wholeLayerCost = this.layerFirstMilliseconds(terms, Phase.whole) + laterCost;
+        this.cachedLayerCost = hasPrefix ? this.layerFirstMilliseconds(terms, Phase.cached) + laterCost : undefined;
+    }
+
+    /** Milliseconds before the first token that do not depend on the layers: import, queue and the step that runs. */
+    get entryFirstMilliseconds(): number {
+        const { queuedAttempts, attempts, stepMilliseconds } = this.load;
+        const queueMilliseconds = queuedAttempts * stepMilliseconds / Math.max(1, attempts);
+        return this.importMilliseconds + queueMilliseconds + stepMilliseconds;
+    }
+
+    /** Milliseconds of the present batch's step, for each later token. */
+    get entryTokenMilliseconds(): number {
+        return this.load.stepMilliseconds;
+    }
+
+    /** Milliseconds that one layer adds to each later token. */
+    get layerTokenMilliseconds(): number {
+        return minimumStepTokens * 1000 / this.candidate.server.layerTokensPerSecond;
+    }
+
+    /** Milliseconds that one layer adds to the first token. */
+    layerFirstMilliseconds(terms: SearchTerms, phase: Phase): number {
+        const tokens = phase === Phase.whole ? terms.wholeTokens : terms.cachedTokens;
+        return Math.max(minimumStepTokens, tokens) * 1000 / this.candidate.server.layerTokensPerSecond;
+    }
+}
+
+/** Adds the options of one server. */
+export function addStageOptions(
+    options: StageOption[],
     terms: SearchTerms,
     candidate: Candidate,
     load: LoadEstimate,
     believedPrefix: boolean,
-): StageOption[] {
-    const plain = { layers: candidate.server.layers, cache: undefined, importMilliseconds: 0 };
-    const variants: CacheVariant[] = [{ ...plain, hasPrefix: believedPrefix }];
-    for (const stage of terms.request.surviving) {
+): void {
+    const { surviving } = terms.request;
+    if (candidate.server.role !== "decode") {
+        const { layers } = candidate.server;
+        const [first, end] = surviving.length === 0
+            ? [candidate.firstBoundary, candidate.endBoundary]
+            : [terms.boundaries.indexOf(layers.first), terms.boundaries.indexOf(layers.last + 1)];
+        options.push(new StageOption(terms, candidate, load, first, end, believedPrefix, undefined, 0));
+    }
+    for (const stage of surviving) {
         const variant = cacheVariant(terms, candidate, stage);
         if (variant !== undefined) {
-            variants.push(variant);
+            const { layers, cache, importMilliseconds } = variant;
+            const first = terms.boundaries.indexOf(layers.first);
+            const end = terms.boundaries.indexOf(layers.last + 1);
+            options.push(new StageOption(terms, candidate, load, first, end, true, cache, importMilliseconds));
         }
     }
-    const usable = candidate.server.role === "decode"
-        ? variants.filter(variant => variant.cache !== undefined)
-        : variants;
-    return usable.flatMap(variant => buildOption(terms, candidate, load, variant) ?? []);
 }
 
 /** KV cache that an earlier attempt left, kept by its own server or moved to another. */
@@ -72,9 +114,7 @@
     }
     const { attemptId } = stage;
     if (stage.backendServer === server.id) {
-        return stage.usable
-            ? { layers, cache: { kind: "kept", attemptId }, importMilliseconds: 0, hasPrefix: true }
-            : undefined;
+        return stage.usable ? { layers, cache: { kind: "kept", attemptId }, importMilliseconds: 0 } : undefined;
     }
     const source = terms.index.find(stage.backendServer);
     if (source === undefined) {
@@ -84,44 +124,5 @@
     const bytes = (promptTokens + generatedTokens) * layerCount(layers) * model.cacheBytesPerTokenLayer;
     const link = terms.index.graph.topology.link(source.description, server.location);
     const importMilliseconds = link.latencyMilliseconds + transferMilliseconds(link, bytes);
-    const { address } = source.description;
-    return { layers, cache: { kind: "imported", attemptId, address }, importMilliseconds, hasPrefix: true };
-}
-
-function buildOption(
-    terms: SearchTerms,
-    candidate: Candidate,
-    load: LoadEstimate,
-    variant: CacheVariant,
-): StageOption | undefined {
-    const firstBoundary = terms.boundaries.indexOf(variant.layers.first);
-    const endBoundary = terms.boundaries.indexOf(variant.layers.last + 1);
-    if (firstBoundary < 0 || endBoundary <= firstBoundary) {
-        return undefined;
-    }
-    const { expectedTokens } = terms.request;
-    const tokenMilliseconds = 1000 / candidate.server.layerTokensPerSecond;
-    const queueMilliseconds = load.queuedAttempts * load.stepMilliseconds / Math.max(1, load.attempts);
-    const entryFirstMilliseconds = variant.importMilliseconds + queueMilliseconds + load.stepMilliseconds;
-    const entryTokenMilliseconds = load.stepMilliseconds;
-    const layerTokenMilliseconds = tokenMilliseconds * minimumStepTokens;
-    const prefixMilliseconds = (tokens: number) => tokenMilliseconds * Math.max(minimumStepTokens, tokens);
-    const wholeLayerFirstMilliseconds = prefixMilliseconds(terms.wholeTokens);
-    const cachedLayerFirstMilliseconds = prefixMilliseconds(terms.cachedTokens);
-    const laterCost = expectedTokens * layerTokenMilliseconds;
-    return {
-        candidate,
-        cache: variant.cache,
-        location: candidate.location,
-        firstBoundary,
-        endBoundary,
-        entryFirstMilliseconds,
-        entryTokenMilliseconds,
-        layerTokenMilliseconds,
-        wholeLayerFirstMilliseconds,
-        cachedLayerFirstMilliseconds,
-        entryCost: entryFirstMilliseconds + expectedTokens * entryTokenMilliseconds,
-        cachedLayerCost: variant.hasPrefix ? cachedLayerFirstMilliseconds + laterCost : undefined,
-        wholeLayerCost: wholeLayerFirstMilliseconds + laterCost,
-    };
+    return { layers, cache: { kind: "imported", attemptId, address: source.description.address }, importMilliseconds };
 }
