--- /dev/null
+++ b/test/request/pipeline-choice/cost-pipeline-chooser.test.ts
@@ -0,0 +1,237 @@
+import { describe, expect, test } from "@jest/globals";
+import fastCheck from "fast-check";
+import { monotonicNow } from "../../../src/common/clock.js";
+import { randomInteger, SeededRandom } from "../../../src/common/random.js";
+import { NoPipelineError } from "../../../src/errors/index.js";
+import type { BackendServerRecord } from "../../../src/process/backend-servers/backend-server-record.js";
+import { ExactInFlightLedger } from "../../../src/process/backend-servers/exact-in-flight-ledger.js";
+import {
+    LeastInFlightPipelineChooser,
+    RoundRobinPipelineChooser,
+} from "../../../src/request/pipeline-choice/simple-choosers.js";
+import type { PipelineChooser } from "../../../src/request/pipeline-choice/types.js";
+import { PipelineGraphs } from "../../../src/version/pipeline-graph/pipeline-graphs.js";
+import { configuration, costChooser, pipelineRequest, record, RecordSource } from "../../support/backend-servers.js";
+import { fixedTopology, model } from "../../support/pipelines.js";
+
+const topology = fixedTopology({}, { latencyMilliseconds: 1, bytesPerSecond: 1e9 });
+const farTopology = fixedTopology({}, { latencyMilliseconds: 50, bytesPerSecond: 1e7 });
+
+function setLoad(target: BackendServerRecord, runningAttempts: number, stepMilliseconds: number): void {
+    target.setLoad(
+        {
+            runningAttempts,
+            queuedAttempts: 0,
+            pendingTokens: runningAttempts * 100,
+            stepMilliseconds,
+            freeCacheBytes: 1,
+        },
+        monotonicNow(),
+    );
+}
+
+describe("every chooser", () => {
+    const layerTotal = 8;
+    const serverArbitrary = fastCheck.record({
+        first: fastCheck.integer({ min: 0, max: layerTotal - 1 }),
+        length: fastCheck.integer({ min: 1, max: layerTotal }),
+        zone: fastCheck.constantFrom("a", "b"),
+        excluded: fastCheck.boolean(),
+        leaving: fastCheck.boolean(),
+        steps: fastCheck.integer({ min: 0, max: 50 }),
+    });
+
+    test("tiles the layers with usable servers within what they hold, or reports that there is no pipeline", () => {
+        fastCheck.assert(
+            fastCheck.property(
+                fastCheck.array(serverArbitrary, { maxLength: 10 }),
+                fastCheck.integer(),
+                (drawn, seed) => {
+                    const records = drawn.map(({ first, length, zone, steps, leaving }, index) => {
+                        const made = record(`s${index}`, zone, [first, Math.min(layerTotal, first + length) - 1]);
+                        setLoad(made, steps, steps);
+                        return leaving && made.markLeaving() ? made : made;
+                    });
+                    const excluded = new Set(
+                        records.filter((_record, index) => drawn[index]!.excluded).map(({ id }) => id),
+                    );
+                    const usable = records.filter(made => !made.leaving && !excluded.has(made.id));
+                    const covers = (layer: number) =>
+                        usable.some(({ holdings }) =>
+                            holdings![0]!.layers.first <= layer && layer <= holdings![0]!.layers.last
+                        );
+                    const possible = Array.from({ length: layerTotal }, (_unused, layer) => layer).every(covers);
+                    const source = new RecordSource(records);
+                    const described = model(layerTotal);
+                    const graphs = new PipelineGraphs(configuration([described], topology), source);
+                    const choosers: PipelineChooser[] = [
+                        costChooser(source, described, topology, seed),
+                        new RoundRobinPipelineChooser(graphs, source),
+                        new LeastInFlightPipelineChooser(graphs, source),
+                    ];
+                    for (const chooser of choosers) {
+                        const choose = () => chooser.choose(pipelineRequest(described, { excluded }));
+                        if (!possible) {
+                            expect(choose).toThrow(NoPipelineError);
+                            continue;
+                        }
+                        for (const stage of choose().plan.stages) {
+                            const server = usable.find(({ id }) => id === stage.backendServer)!;
+                            expect(server).toBeDefined();
+                            expect(server.holdings![0]!.layers.first).toBeLessThanOrEqual(stage.layers.first);
+                            expect(server.holdings![0]!.layers.last).toBeGreaterThanOrEqual(stage.layers.last);
+                        }
+                    }
+                },
+            ),
+            { seed: 41, numRuns: 150 },
+        );
+    });
+});
+
+describe("CostPipelineChooser", () => {
+    test("stays in its own availability zone until that costs more than the way to another", () => {
+        const described = model(8);
+        const records = ["a", "b"].map(zone => record(`server-${zone}`, zone, [0, 7]));
+        const source = new RecordSource(records);
+        const chooser = costChooser(source, described, topology);
+        const chosen = () => chooser.choose(pipelineRequest(described)).plan.stages[0]!.backendServer;
+        expect(chosen()).toBe("server-a");
+        setLoad(records[0]!, 20, 40);
+        setLoad(records[1]!, 2, 5);
+        expect(chosen()).toBe("server-b");
+    });
+
+    test("hands over within overlapping ranges so that the faster server runs more layers", () => {
+        const described = model(12);
+        const source = new RecordSource([record("slow", "a", [0, 8], 1_000), record("fast", "a", [4, 11], 10_000)]);
+        const { plan } = costChooser(source, described, topology).choose(pipelineRequest(described));
+        expect(plan.stages.map(({ backendServer, layers }) => [backendServer, layers.first, layers.last])).toEqual([
+            ["slow", 0, 3],
+            ["fast", 4, 11],
+        ]);
+    });
+
+    test("uses only servers that hold the adapter", () => {
+        const described = model(4);
+        const records = [record("without", "a", [0, 3], 100_000), record("with", "a", [0, 3])];
+        records[1]!.holdings = [{ ...records[1]!.holdings![0]!, adapters: ["salt"] }];
+        const chooser = costChooser(new RecordSource(records), described, topology);
+        const choice = chooser.choose(pipelineRequest(described, { adapter: "salt" }));
+        expect(choice.plan.uses("with")).toBe(true);
+    });
+
+    test("prefers a cached prefix, until its holder is much more loaded than those alike", () => {
+        const described = model(8);
+        const records = Array.from({ length: 4 }, (_unused, index) => record(`s${index}`, "a", [0, 7]));
+        const source = new RecordSource(records);
+        records.forEach(made => setLoad(made, 4, 2));
+        const prefixBlocks = ["b0", "b1", "b2"];
+        source.prefixes.apply("s2", { type: "cache", sequence: 1, added: prefixBlocks, removed: [] });
+        const chooser = costChooser(source, described, topology);
+        const request = pipelineRequest(described, { promptTokens: 2_000, expectedTokens: 10, prefixBlocks });
+        const choice = chooser.choose(request);
+        expect(choice.plan.uses("s2")).toBe(true);
+        expect(choice.recomputedTokens).toBe(2_000 - 3 * 64);
+        const ledger = new ExactInFlightLedger(id => source.get(id));
+        let taken = 0;
+        while (chooser.choose(request).plan.uses("s2")) {
+            ledger.begin(chooser.choose(request).plan, 2_010);
+            taken++;
+            expect(taken).toBeLessThan(10);
+        }
+        const mean = records.reduce((sum, made) => sum + 4 + made.ownAttempts, 0) / 4;
+        expect(4 + records[2]!.ownAttempts).toBeLessThanOrEqual(1.25 * mean + 2);
+    });
+
+    test("a gap in the cache events drops what was believed of that server", () => {
+        const source = new RecordSource([]);
+        const apply = (server: string, sequence: number, added: string[]) =>
+            source.prefixes.apply(server, { type: "cache", sequence, added, removed: [] });
+        apply("s0", 1, ["b0", "b1"]);
+        apply("s1", 7, ["b0"]);
+        apply("s0", 3, ["b2"]);
+        expect([...source.prefixes.match(["b0", "b1"])]).toEqual([["s1", 1]]);
+        expect([...source.prefixes.match(["b0", "b1", "b2"])]).toEqual([["s0", 3], ["s1", 1]]);
+        source.prefixes.apply("s1", { type: "cache", sequence: 8, added: [], removed: ["b0"] });
+        expect(source.prefixes.match(["b0"]).size).toBe(0);
+    });
+});
+
+describe("recovery", () => {
+    const described = model(8);
+    const first = record("first", "a", [0, 3]);
+    const last = record("last", "a", [4, 7]);
+    const spares = [record("spare-first", "a", [0, 3]), record("spare-last", "a", [4, 7])];
+    const surviving = (names: readonly string[], usable = true) =>
+        [first, last].filter(({ id }) => names.includes(id)).map(({ id, holdings }) => ({
+            backendServer: id,
+            layers: holdings![0]!.layers,
+            attemptId: "attempt",
+            usable,
+        }));
+    const request = (names: readonly string[], excluded: readonly string[], usable = true) =>
+        pipelineRequest(described, {
+            promptTokens: 2_000,
+            generatedTokens: 50,
+            surviving: surviving(names, usable),
+            excluded: new Set(excluded),
+        });
+
+    test("keeps the surviving stage and computes the prefix only up to the lost one", () => {
+        const chooser = costChooser(new RecordSource([first, last, ...spares]), described, topology);
+        const lostFirst = chooser.choose(request(["last"], ["first"]));
+        expect(lostFirst.plan.stages.map(stage => [stage.backendServer, stage.cache?.kind])).toEqual([
+            ["spare-first", undefined],
+            ["last", "kept"],
+        ]);
+        expect(lostFirst.recomputedTokens).toBe(2_050);
+    });
+
+    test("moves KV cache from a server that still answers, where that is cheaper than computing", () => {
+        const source = new RecordSource([first, last, ...spares]);
+        const leaving = request(["first", "last"], ["first"], false);
+        const near = costChooser(source, described, topology).choose(leaving);
+        expect(near.plan.stages[0]!.cache).toEqual({
+            kind: "imported",
+            attemptId: "attempt",
+            address: first.description.address,
+        });
+        expect(near.recomputedTokens).toBeLessThan(2_050);
+    });
+
+    test("computes the prefix again where the way to the KV cache is too slow", () => {
+        const far = record("spare-far", "b", [0, 7], 100_000);
+        const source = new RecordSource([first, far]);
+        const choice = costChooser(source, described, farTopology).choose(pipelineRequest(described, {
+            promptTokens: 2_000,
+            surviving: [{ backendServer: "first", layers: { first: 0, last: 3 }, attemptId: "attempt", usable: false }],
+            excluded: new Set(["first"]),
+        }));
+        expect(choice.plan.stages.map(stage => stage.cache)).toEqual([undefined]);
+        expect(choice.recomputedTokens).toBe(2_000);
+    });
+});
+
+describe("many routers on the same late reports", () => {
+    const serverTotal = 24;
+    const routerTotal = 360;
+
+    /** The largest share of the routers' choices that a single server gets, relative to an even share. */
+    function worstShare(createChooser: (source: RecordSource, seed: number) => PipelineChooser): number {
+        const records = Array.from({ length: serverTotal }, (_unused, index) => record(`s${index}`, "a", [0, 7]));
+        records.forEach((made, index) => setLoad(made, index === 0 ? 0 : 10, index === 0 ? 1 : 10));
+        const counts = new Map<string, number>();
+        const random = new SeededRandom(51);
+        for (let router = 0; router < routerTotal; router++) {
+            const chooser = createChooser(new RecordSource(records), randomInteger(random, 2 ** 31));
+            const { backendServer } = chooser.choose(pipelineRequest(model(8))).plan.stages[0]!;
+            counts.set(backendServer, (counts.get(backendServer) ?? 0) + 1);
+        }
+        return Math.max(...counts.values()) / (routerTotal / serverTotal);
+    }
+
+    test("do not all take the server that looked best", () => {
+        expect(worstShare((source, seed) => costChooser(source, model(8), topology, seed))).toBeLessThanOrEqual(2.5);
+    });
+});
