--- /dev/null
+++ b/bench/path/streams.ts
@@ -0,0 +1,98 @@
+/** Streams of tokens as callers see them, through the router and directly from a backend server. */
+import { randomUUID } from "node:crypto";
+import { Agent, request } from "undici";
+import { callerKey, model, routeName } from "./fixture.js";
+import type { ServerAddress } from "./messages.js";
+
+const maximumSockets = 1024;
+const agent = new Agent({ connections: maximumSockets, pipelining: 1 });
+const messages = [{ role: "user", content: "Summarise the contamination notes of the morning's loads." }];
+
+/** Times of one stream, in milliseconds. */
+export interface StreamTimes {
+    readonly firstToken: number;
+    readonly gaps: readonly number[];
+}
+
+/** Where a stream comes from, and how its tokens are told from the rest. */
+export interface StreamSource {
+    readonly url: string;
+    readonly marker: Buffer;
+    body(tokens: number): string;
+}
+
+export function routerSource(address: string): StreamSource {
+    return {
+        url: `${address}/v1/chat/completions`,
+        marker: Buffer.from(`"delta":{"content":`),
+        body: tokens => JSON.stringify({ model: routeName, stream: true, max_tokens: tokens, messages }),
+    };
+}
+
+export function directSource(server: ServerAddress): StreamSource {
+    return {
+        url: `${server.address}/v1/attempts`,
+        marker: Buffer.from(`"type":"token"`),
+        body: tokens =>
+            JSON.stringify({
+                attemptId: randomUUID(),
+                planId: "direct",
+                requestId: randomUUID(),
+                model: model.name,
+                modelVersion: model.version,
+                stages: [{
+                    backendServer: server.id,
+                    address: server.address,
+                    layers: { first: 0, last: model.layerTotal - 1 },
+                }],
+                messages,
+                generated: [],
+                maximumTokens: tokens,
+                priority: 1,
+                timeoutMilliseconds: 60_000,
+            }),
+    };
+}
+
+/** Counts the marker in a chunk; tokens are small and arrive whole but for rare splits. */
+function countMarkers(chunk: Buffer, marker: Buffer): number {
+    let count = 0;
+    for (let index = chunk.indexOf(marker); index >= 0; index = chunk.indexOf(marker, index + marker.length)) {
+        count++;
+    }
+    return count;
+}
+
+/** Reads one stream; `onTokens` is told of tokens as they arrive. */
+export async function readStream(
+    source: StreamSource,
+    tokens: number,
+    onTokens: (count: number) => void = () => undefined,
+): Promise<StreamTimes> {
+    const startedAt = performance.now();
+    const response = await request(source.url, {
+        method: "POST",
+        dispatcher: agent,
+        headers: { "content-type": "application/json", authorization: `Bearer ${callerKey}` },
+        body: source.body(tokens),
+    });
+    let previous: number | undefined;
+    let firstToken = Number.NaN;
+    const gaps: number[] = [];
+    for await (const chunk of response.body as AsyncIterable<Buffer>) {
+        const count = countMarkers(chunk, source.marker);
+        if (count === 0) {
+            continue;
+        }
+        const now = performance.now();
+        if (previous === undefined) {
+            firstToken = now - startedAt;
+        }
+        else {
+            gaps.push(now - previous);
+        }
+        previous = now;
+        onTokens(count);
+    }
+    return { firstToken, gaps };
+}
--- /dev/null
+++ b/src/cli/commands/stand-in.ts
@@ -0,0 +1,174 @@
+/** `pomelostall stand-in platform | backend-server | service`: stand-ins as processes, to try a fleet by hand. */
+import { Command, InvalidArgumentError } from "commander";
+import { once } from "node:events";
+import { readFile } from "node:fs/promises";
+import { request } from "undici";
+import { SystemRandom } from "../../common/random.js";
+import type { Configuration } from "../../domain/configuration.js";
+import type { LayerRange } from "../../domain/layers.js";
+import type { VmEntry } from "../../domain/platform.js";
+import { InvalidCommandError, UnreadableFileError } from "../../errors/index.js";
+import { HttpStageNetwork, StandInBackendServer, WeightStore } from "../../stand-ins/backend-server/index.js";
+import { PlatformServer, StandInPlatform, standInVmsPath } from "../../stand-ins/platform/index.js";
+import { StandInService } from "../../stand-ins/service/index.js";
+import { buildConfiguration } from "../../version/sheet/index.js";
+import type { CommandContext } from "../context.js";
+
+const millisecondsPerSecond = 1000;
+const defaultRegion = "local";
+const layersPattern = /^(\d+)-(\d+)$/;
+
+interface VmOptions {
+    readonly id: string;
+    readonly region: string;
+    readonly zone: string;
+    readonly port: string;
+    readonly platform?: string;
+}
+
+interface BackendServerOptions extends VmOptions {
+    readonly sheet: string;
+    readonly class: string;
+    readonly model?: string;
+    readonly layers?: LayerRange;
+}
+
+export function createStandInCommand(context: CommandContext): Command {
+    const command = new Command("stand-in").description("Run a stand-in for something around the routers");
+    command.command("platform")
+        .description("Run the platform's stand-in: key-value service and list of VMs")
+        .option("--port <port>", "TCP port; 0 picks a free one", "2379")
+        .addHelpText("after", "\nExample:\n  pomelostall stand-in platform --port 2379")
+        .action((options: { port: string; }) => runPlatform(context, Number(options.port)));
+    addVmOptions(command.command("backend-server"))
+        .description("Run a stand-in backend server that holds layers of a model")
+        .requiredOption("--sheet <file>", "sheet that describes the class and the model")
+        .requiredOption("--class <name>", "backend server class of the sheet")
+        .option("--model <name>", "model to hold; nothing is held without it")
+        .option("--layers <first-last>", "layers to hold; all by default", parseLayers)
+        .addHelpText(
+            "after",
+            "\nExample:\n  pomelostall stand-in backend-server --id a1 --zone kewdale --sheet examples/haddow.csv "
+                + "--class accelerator-small --model grade-writer --layers 0-9 --platform http://127.0.0.1:2379",
+        )
+        .action((options: BackendServerOptions) => runBackendServer(context, options));
+    addVmOptions(command.command("service"))
+        .description("Run a stand-in plain service with bookings and stock")
+        .requiredOption("--name <name>", "service of the sheet that it stands for")
+        .addHelpText(
+            "after",
+            "\nExample:\n  pomelostall stand-in service --id b1 --zone kewdale --name bookings --platform http://127.0.0.1:2379",
+        )
+        .action((options: VmOptions & { name: string; }) => runService(context, options));
+    return command;
+}
+
+function addVmOptions(command: Command): Command {
+    return command
+        .requiredOption("--id <id>", "name of the VM")
+        .requiredOption("--zone <name>", "availability zone")
+        .option("--region <name>", "region", defaultRegion)
+        .option("--port <port>", "TCP port; 0 picks a free one", "0")
+        .option("--platform <url>", "stand-in platform in whose list the VM is entered");
+}
+
+function parseLayers(text: string): LayerRange {
+    const match = layersPattern.exec(text);
+    if (match === null) {
+        throw new InvalidArgumentError("Expected first-last, such as 0-9.");
+    }
+    return { first: Number(match[1]), last: Number(match[2]) };
+}
+
+async function runPlatform(context: CommandContext, port: number): Promise<void> {
+    const server = new PlatformServer(new StandInPlatform(), port);
+    await server.start();
+    context.output.write(`platform at ${server.address}\n`);
+    await untilStopped();
+    await server.stop();
+}
+
+async function runBackendServer(context: CommandContext, options: BackendServerOptions): Promise<void> {
+    const configuration = await readConfiguration(options.sheet);
+    const backendServerClass = configuration.backendServerClasses.get(options.class);
+    if (backendServerClass === undefined) {
+        throw new InvalidCommandError(`The sheet has no backend server class ${options.class}.`);
+    }
+    const network = new HttpStageNetwork();
+    const server = new StandInBackendServer({
+        id: options.id,
+        port: Number(options.port),
+        location: { region: options.region, availabilityZone: options.zone },
+        class: backendServerClass,
+        ...heldModel(configuration, options),
+    }, { network, weightStore: new WeightStore(configuration.weightStore.bytesPerSecond), random: new SystemRandom() });
+    await server.start();
+    context.output.write(`backend server ${options.id} at ${server.address}\n`);
+    await register(options, "backend-server", server.address, options.class);
+    await untilStopped();
+    server.stop();
+}
+
+function heldModel(configuration: Configuration, options: BackendServerOptions) {
+    if (options.model === undefined) {
+        return { holdings: [] };
+    }
+    const model = configuration.models.get(options.model);
+    if (model === undefined) {
+        throw new InvalidCommandError(`The sheet has no model ${options.model}.`);
+    }
+    const layers = options.layers ?? { first: 0, last: model.layerTotal - 1 };
+    return {
+        holdings: [{ model: model.name, modelVersion: model.version, layers, adapters: model.adapters }],
+        layerBytes: model.layerBytes,
+        activationBytes: model.activationBytes,
+        cacheBytesPerTokenLayer: model.cacheBytesPerTokenLayer,
+    };
+}
+
+async function runService(context: CommandContext, options: VmOptions & { name: string; }): Promise<void> {
+    const service = new StandInService({ port: Number(options.port) });
+    await service.start();
+    context.output.write(`service ${options.name} at ${service.address}\n`);
+    await register(options, "service", service.address, options.name);
+    await untilStopped();
+    service.stop();
+}
+
+async function register(options: VmOptions, kind: VmEntry["kind"], address: string, className: string): Promise<void> {
+    if (options.platform === undefined) {
+        return;
+    }
+    const entry: VmEntry = {
+        id: options.id,
+        kind,
+        address,
+        region: options.region,
+        availabilityZone: options.zone,
+        className,
+        state: "live",
+        // Rises with each start.
+        incarnation: Math.floor(Date.now() / millisecondsPerSecond),
+    };
+    const response = await request(`${options.platform}${standInVmsPath}`, {
+        method: "POST",
+        headers: { "content-type": "application/json" },
+        body: JSON.stringify({ vms: [entry] }),
+    });
+    await response.body.dump();
+}
+
+async function readConfiguration(file: string): Promise<Configuration> {
+    let sheet: string;
+    try {
+        sheet = await readFile(file, "utf8");
+    }
+    catch (error) {
+        throw new UnreadableFileError(file, error);
+    }
+    return buildConfiguration({ version: 1, pushId: "", parent: 0, author: "", acceptedAt: "" }, sheet);
+}
+
+function untilStopped(): Promise<unknown> {
+    return Promise.race([once(process, "SIGINT"), once(process, "SIGTERM")]);
+}
--- a/src/cli/run.ts
+++ b/src/cli/run.ts
@@ -5,12 +5,14 @@
 import { createDrainCommand } from "./commands/drain.js";
 import { createExplainCommand } from "./commands/explain.js";
 import { createSettingsCommand } from "./commands/settings.js";
+import { createStandInCommand } from "./commands/stand-in.js";
 import { createStatusCommand } from "./commands/status.js";
 import { type CommandContext, ExitCode } from "./context.js";
 
 const commandFactories: readonly ((context: CommandContext) => Command)[] = [
     createDemoCommand,
     createSettingsCommand,
+    createStandInCommand,
     createStatusCommand,
     createDrainCommand,
     createExplainCommand,
--- a/src/errors/operator-errors.ts
+++ b/src/errors/operator-errors.ts
@@ -55,3 +55,16 @@
         super(operatorBadRequestDefinition, message, { cause });
     }
 }
+
+const invalidCommandDefinition = defineError({
+    code: "invalid-command",
+    title: "The command cannot be carried out as given",
+    hint: "See the command's --help.",
+});
+
+/** Options that do not fit each other or what they name. */
+export class InvalidCommandError extends PomelostallError {
+    constructor(message: string) {
+        super(invalidCommandDefinition, message);
+    }
+}
--- a/src/stand-ins/platform/platform-server.ts
+++ b/src/stand-ins/platform/platform-server.ts
@@ -27,7 +27,7 @@
 const maximumRequestBytes = 8_000_000;
 const millisecondsPerSecond = 1_000;
 
-/** Where the VM list of the stand-in is set. */
+/** Where VMs are added to the stand-in's list. */
 export const standInVmsPath = "/stand-in/vms";
 
 const grpcInvalidArgument = 3;
@@ -54,7 +54,7 @@
             [etcdPaths.leaseKeepAlive, body => this.keepLeaseAlive(body as EtcdLeaseRequest)],
             [etcdPaths.leaseRevoke, body => this.revokeLease(body as EtcdLeaseRequest)],
             [etcdPaths.watch, (body, response) => this.watch(body as EtcdWatchRequest, response)],
-            [standInVmsPath, body => this.setVms(body)],
+            [standInVmsPath, body => this.registerVms(body)],
             [vmListPath, async () => ({ vms: await this.platform.listVms(callTimeoutMilliseconds) })],
         ]);
     }
@@ -96,10 +96,12 @@
         }
     }
 
-    /** Not part of the platform's protocol: sets the VM list of the stand-in. */
-    private async setVms(body: unknown): Promise<unknown> {
+    /** Not part of the platform's protocol: adds VMs to the stand-in's list, or replaces them by ID. */
+    private async registerVms(body: unknown): Promise<unknown> {
         const { vms } = vmListSchema.parse(body);
-        this.platform.setVms(vms);
+        const ids = new Set(vms.map(vm => vm.id));
+        const present = await this.platform.listVms(callTimeoutMilliseconds);
+        this.platform.setVms([...present.filter(vm => !ids.has(vm.id)), ...vms]);
         return { vms: vms.length };
     }
 
