--- a/src/cli/run.ts
+++ b/src/cli/run.ts
@@ -4,13 +4,17 @@
 import { createDemoCommand } from "./commands/demo.js";
 import { createDrainCommand } from "./commands/drain.js";
 import { createExplainCommand } from "./commands/explain.js";
+import { createRouterCommand } from "./commands/router.js";
 import { createSettingsCommand } from "./commands/settings.js";
+import { createSheetCommand } from "./commands/sheet.js";
 import { createStandInCommand } from "./commands/stand-in.js";
 import { createStatusCommand } from "./commands/status.js";
 import { type CommandContext, ExitCode } from "./context.js";
 
 const commandFactories: readonly ((context: CommandContext) => Command)[] = [
     createDemoCommand,
+    createRouterCommand,
+    createSheetCommand,
     createSettingsCommand,
     createStandInCommand,
     createStatusCommand,
--- a/src/daemon/router.ts
+++ b/src/daemon/router.ts
@@ -9,11 +9,14 @@
     HttpBackendServerConnections,
 } from "../connection/backend-server/index.js";
 import type { ConfigurationSource } from "../domain/configuration.js";
+import { type RouterMember, RouterState } from "../domain/fleet.js";
 import { NotFoundError } from "../errors/index.js";
-import { DrainController } from "../process/drain/drain-controller.js";
+import { ConfigurationStore, isPlatformWatcher } from "../process/configuration/index.js";
+import { DrainController, DrainState } from "../process/drain/drain-controller.js";
 import { HttpListener } from "../process/http/http-listener.js";
+import { OperatorHandler } from "../process/operator/operator-handler.js";
 import { OutlierEjection } from "../process/outlier-ejection/outlier-ejection.js";
-import { HttpPlatformClient, HttpVmList } from "../process/platform/index.js";
+import { HttpKeyValueService, HttpPlatformClient, HttpVmList } from "../process/platform/index.js";
 import { TokenRetryBudgets } from "../process/retry-budgets/token-retry-budgets.js";
 import type { RouterSettings } from "../process/settings/schema.js";
 import type { Admission } from "../request/admission/types.js";
@@ -21,27 +24,55 @@
 import { ChatHandler } from "../request/chat/chat-handler.js";
 import { CallerHandler } from "../request/http/caller-handler.js";
 import { ModelsHandler } from "../request/models/models-handler.js";
+import { buildConfiguration, createEmptyConfiguration } from "../version/sheet/index.js";
 import { InterimChooser } from "./interim-chooser.js";
+import { createOperatorEndpoints } from "./operator-endpoints.js";
+import { SoloFleet } from "./solo-fleet.js";
 
 export interface RouterDependencies {
     readonly settings: RouterSettings;
-    readonly configurations: ConfigurationSource;
     readonly logger: Logger;
     readonly metrics: Metrics;
 }
 
+const operatorRequestTimeoutMilliseconds = 10_000;
+const operatorConnections = 100;
+
 /** A whole router. */
 export class Router {
     readonly drain: DrainController;
+    readonly configurations: ConfigurationSource;
+    /** Resolves when the router has drained and every part has stopped. */
+    readonly stopped: Promise<void>;
     private readonly lifeCycle: LifeCycle;
     private readonly callers: HttpListener;
+    private readonly operators: HttpListener;
+    private resolveStopped: () => void = () => undefined;
+    private stopping: Promise<void> | undefined;
 
     constructor(dependencies: RouterDependencies) {
-        const { settings, configurations, logger, metrics } = dependencies;
+        const { settings, logger, metrics } = dependencies;
         const random = new SystemRandom();
+        this.stopped = new Promise(resolve => {
+            this.resolveStopped = resolve;
+        });
         this.lifeCycle = new LifeCycle(logger);
         this.drain = new DrainController(settings.drain, logger.withLabel("drain"));
+        const keyValueService = new HttpKeyValueService(new HttpPlatformClient(settings.platform.keyValueAddresses));
         const vmList = new HttpVmList(new HttpPlatformClient(settings.platform.vmListAddresses));
+        const fleet = new SoloFleet(selfMember(settings));
+        const configurations = new ConfigurationStore({
+            initial: createEmptyConfiguration(),
+            parse: buildConfiguration,
+            keyValueService,
+            exchange: fleet,
+            watchesPlatform: () => isPlatformWatcher(fleet),
+            routerTotal: () => fleet.members().length,
+            random,
+            logger: logger.withLabel("configuration"),
+            metrics,
+        });
+        this.configurations = configurations;
         const connections = new HttpBackendServerConnections({
             settings: connectionSettings(settings),
             logger: logger.withLabel("backend-servers"),
@@ -91,11 +122,36 @@
                 + settings.callers.bodyTimeoutMilliseconds,
             maximumConnections: settings.callers.maximumConnections,
         }, handler.listener);
+        const endpoints = createOperatorEndpoints({
+            configurations,
+            fleet,
+            drain: this.drain,
+            chooser,
+            callersAddress: () => this.callers.address,
+            platformReachable: () => true,
+            backendServers: () => [],
+            requestStop: () => void this.stop(),
+        });
+        const operatorHandler = new OperatorHandler(
+            endpoints,
+            settings.operators.credentialHash,
+            logger.withLabel("operators"),
+        );
+        this.operators = new HttpListener({
+            name: "operators",
+            host: settings.operators.host,
+            port: settings.operators.port,
+            headersTimeoutMilliseconds: operatorRequestTimeoutMilliseconds,
+            requestTimeoutMilliseconds: operatorRequestTimeoutMilliseconds,
+            maximumConnections: operatorConnections,
+        }, operatorHandler.listener);
+        this.lifeCycle.add(configurations);
         this.lifeCycle.add({
             name: "backend servers",
             start: () => chooser.refresh(vmList, connections),
             stop: async () => connections.close(),
         });
+        this.lifeCycle.add(this.operators);
         this.lifeCycle.add(this.callers);
     }
 
@@ -104,17 +160,42 @@
         return this.callers.address;
     }
 
+    /** Base URL for operators; known after start. */
+    get operatorsAddress(): string {
+        return this.operators.address;
+    }
+
     start(): Promise<void> {
         return this.lifeCycle.start();
     }
 
-    /** Drains, then stops every part. */
-    async stop(): Promise<void> {
-        await this.drain.drain();
+    /** Drains, then stops every part; later calls wait for the first. */
+    stop(): Promise<void> {
+        this.stopping ??= this.drainAndStop();
+        return this.stopping;
+    }
+
+    private async drainAndStop(): Promise<void> {
+        if (this.drain.state === DrainState.serving) {
+            await this.drain.drain();
+        }
         await this.lifeCycle.stop();
+        this.resolveStopped();
     }
 }
 
+function selfMember(settings: RouterSettings): RouterMember {
+    const { id, region, availabilityZone } = settings.router;
+    return {
+        id,
+        address: `http://${settings.peers.host}:${settings.peers.port}`,
+        location: { region, availabilityZone },
+        incarnation: 1,
+        state: RouterState.alive,
+        configurationVersion: 0,
+    };
+}
+
 function connectionSettings(settings: RouterSettings): BackendServerConnectionSettings {
     return {
         ...defaultBackendServerConnectionSettings,
--- /dev/null
+++ b/src/daemon/run-router.ts
@@ -0,0 +1,24 @@
+/** Runs a router as a process: starts it from its settings and drains it on SIGTERM or SIGINT. */
+import { createLogger } from "../common/logger.js";
+import { type Metrics, SilentMetrics } from "../common/metrics.js";
+import { StatsdMetrics } from "../process/metrics/statsd-metrics.js";
+import type { RouterSettings } from "../process/settings/schema.js";
+import { Router } from "./router.js";
+
+/** Resolves after the router has drained and stopped. */
+export async function runRouter(settings: RouterSettings): Promise<void> {
+    const logger = createLogger(settings.logs.format, settings.logs.level, settings.router.id);
+    const statsd = settings.metrics === undefined
+        ? undefined
+        : new StatsdMetrics({ ...settings.metrics, tags: { router: settings.router.id } }, logger);
+    const metrics: Metrics = statsd ?? new SilentMetrics();
+    const router = new Router({ settings, logger, metrics });
+    await router.start();
+    const stop = () => void router.stop();
+    process.on("SIGTERM", stop);
+    process.on("SIGINT", stop);
+    await router.stopped;
+    await statsd?.stop();
+    process.off("SIGTERM", stop);
+    process.off("SIGINT", stop);
+}
