--- a/src/errors/index.ts
+++ b/src/errors/index.ts
@@ -8,5 +8,6 @@
 export * from "./platform-errors.js";
 export * from "./pomelostall-error.js";
 export * from "./request-errors.js";
+export * from "./service-errors.js";
 export * from "./settings-errors.js";
 export * from "./sheet-errors.js";
