Add the booking ledger and the booking service

Aim: a booking with a key runs at most once over all routers, whatever crashes, pauses or loses its answer. 32 shards, each a log of batches whose append moves the shard's head by compare-and-swap; the same claim may be submitted through a peer and here, since operations are idempotent by claim ID, and only the router that made the claim makes the call. A first draft let the writing router withdraw a claim whose caller had stopped waiting; that would have freed the key of a booking that runs through another path, so only the claiming router withdraws. A plan is bound to the position it was made for, so that a refresh between planning and appending can't let a stale plan through.

--- a/src/domain/platform.ts
+++ b/src/domain/platform.ts
@@ -45,8 +45,13 @@
 /** The key-value service. Every failure is a PlatformUnavailableError. */
 export interface KeyValueService {
     get(key: string, timeoutMilliseconds: number): Promise<KeyValueEntry | undefined>;
-    /** All entries whose keys start with the prefix, in key order. */
-    list(prefix: string, timeoutMilliseconds: number, maximumEntries?: number): Promise<readonly KeyValueEntry[]>;
+    /** All entries whose keys start with the prefix and come after the given key, in key order. */
+    list(
+        prefix: string,
+        timeoutMilliseconds: number,
+        maximumEntries?: number,
+        afterKey?: string,
+    ): Promise<readonly KeyValueEntry[]>;
     transact(transaction: Transaction, timeoutMilliseconds: number): Promise<TransactionResult>;
     grantLease(timeToLiveMilliseconds: number, timeoutMilliseconds: number): Promise<string>;
     /** Rejects with LeaseLostError if the lease has lapsed. */
--- a/src/errors/index.ts
+++ b/src/errors/index.ts
@@ -1,5 +1,6 @@
 /** The registry of error classes, one file for each area. Importing this module defines every error. */
 export * from "./admission-errors.js";
+export * from "./booking-errors.js";
 export * from "./configuration-errors.js";
 export * from "./connection-errors.js";
 export * from "./general-errors.js";
--- /dev/null
+++ b/src/process/ledger/index.ts
@@ -0,0 +1,4 @@
+/** The ledger of bookings that carry a key. */
+export { maximumAnswerBytes, retentionMilliseconds, shardTotal } from "./constants.js";
+export { OutcomeRecorder } from "./outcome-recorder.js";
+export { ShardedLedger, type ShardedLedgerOptions, shardOf } from "./sharded-ledger.js";
--- a/src/process/platform/http-key-value-service.ts
+++ b/src/process/platform/http-key-value-service.ts
@@ -50,9 +50,11 @@
         prefix: string,
         timeoutMilliseconds: number,
         maximumEntries?: number,
+        afterKey?: string,
     ): Promise<readonly KeyValueEntry[]> {
         const limit = maximumEntries === undefined ? {} : { limit: String(maximumEntries) };
-        const request = { key: encodeKey(prefix), range_end: encodePrefixEnd(prefix), ...limit };
+        const firstKey = afterKey === undefined ? prefix : `${afterKey}\0`;
+        const request = { key: encodeKey(firstKey), range_end: encodePrefixEnd(prefix), ...limit };
         return this.range(request, timeoutMilliseconds);
     }
 
--- a/src/stand-ins/platform/key-value-store.ts
+++ b/src/stand-ins/platform/key-value-store.ts
@@ -192,10 +192,15 @@
     }
 }
 
-/** The entries of a snapshot whose keys start with the prefix, in key order. */
-export function selectPrefix(snapshot: StoreSnapshot, prefix: string, maximumEntries?: number): KeyValueEntry[] {
+/** The entries of a snapshot whose keys start with the prefix and come after the given key, in key order. */
+export function selectPrefix(
+    snapshot: StoreSnapshot,
+    prefix: string,
+    maximumEntries?: number,
+    afterKey = "",
+): KeyValueEntry[] {
     return [...snapshot.entries.values()]
-        .filter(entry => entry.key.startsWith(prefix))
+        .filter(entry => entry.key.startsWith(prefix) && entry.key > afterKey)
         .sort((left, right) => left.key < right.key ? -1 : 1)
         .slice(0, maximumEntries);
 }
--- a/src/stand-ins/platform/platform-server.ts
+++ b/src/stand-ins/platform/platform-server.ts
@@ -110,9 +110,10 @@
         const entries = request.range_end === undefined
             ? [await this.platform.get(key, callTimeoutMilliseconds)].filter(entry => entry !== undefined)
             : await this.platform.list(
-                key,
+                prefixOf(request.range_end),
                 callTimeoutMilliseconds,
                 request.limit === undefined ? undefined : Number(request.limit),
+                key.endsWith("\0") ? key.slice(0, -1) : undefined,
             );
         return { header: this.header(), kvs: entries.map(formatEntry), count: String(entries.length) };
     }
@@ -184,6 +185,14 @@
     };
 }
 
+/** The prefix whose range has this end. */
+function prefixOf(encodedEnd: string): string {
+    const bytes = Buffer.from(encodedEnd, "base64");
+    const last = bytes.length - 1;
+    bytes[last] = bytes[last]! - 1;
+    return bytes.toString("utf8");
+}
+
 function parseCompare(compare: EtcdCompare): { key: string; revision: number; } {
     return { key: decodeKey(compare.key), revision: Number(compare.mod_revision) };
 }
--- a/src/stand-ins/platform/stand-in-platform.ts
+++ b/src/stand-ins/platform/stand-in-platform.ts
@@ -86,9 +86,11 @@
         prefix: string,
         timeoutMilliseconds: number,
         maximumEntries?: number,
+        afterKey?: string,
     ): Promise<readonly KeyValueEntry[]> {
         this.counts.reads++;
-        return this.call(timeoutMilliseconds, false, () => selectPrefix(this.readable(), prefix, maximumEntries));
+        const select = () => selectPrefix(this.readable(), prefix, maximumEntries, afterKey);
+        return this.call(timeoutMilliseconds, false, select);
     }
 
     async transact(transaction: Transaction, timeoutMilliseconds: number): Promise<TransactionResult> {
