Add membership between routers, with links over connect-es and mutual TLS

Aim: routers must see joins, deaths, leaves, notices, configuration versions and customers' demand of each other without a coordination service. Change: FleetView takes news in by incarnation; Prober, Suspicions, Forwarder and SeedFinder drive it over a PeerTransport. Each router probes fixed places of its availability zone's ring and a few beyond. DemandAverage averages by push and pull in slices. PeerServer and PeerClient carry the messages by connect-es over HTTP/2; certificates are read again when the files change. Found: a connection of connect-node that gets GOAWAY after it left its manager's care emits an error that nobody hears, which ended the process; PeerSessions keeps a listener. The test of a death over real sockets failed without it.

--- /dev/null
+++ b/src/connection/router/index.ts
@@ -0,0 +1,4 @@
+/** Links between routers. */
+export * from "./certificates.js";
+export * from "./peer-client.js";
+export * from "./peer-server.js";
--- a/src/errors/index.ts
+++ b/src/errors/index.ts
@@ -5,6 +5,7 @@
 export * from "./connection-errors.js";
 export * from "./general-errors.js";
 export * from "./operator-errors.js";
+export * from "./peer-errors.js";
 export * from "./placement-errors.js";
 export * from "./platform-errors.js";
 export * from "./pomelostall-error.js";
--- /dev/null
+++ b/src/process/membership/index.ts
@@ -0,0 +1,6 @@
+/** Membership between routers. */
+export * from "./membership.js";
+export * from "./peer-versions.js";
+export * from "./settings.js";
+export * from "./timers.js";
+export * from "./types.js";
