--- a/src/process/membership/peer-versions.ts
+++ b/src/process/membership/peer-versions.ts
@@ -69,7 +69,7 @@
         const version = id === this.membership.self.id
             ? this.membership.self.configurationVersion
             : (await this.ask(member.address, timeoutMilliseconds))?.version ?? 0;
-        return { routerId: id, region: location.region, availabilityZone: location.availabilityZone, version };
+        return { routerId: id, availabilityZone: location.availabilityZone, version };
     }
 
     private async ask(address: string, timeoutMilliseconds: number): Promise<VersionAnnouncement | undefined> {
