--- /dev/null
+++ b/src/daemon/backend-servers.ts
@@ -0,0 +1,96 @@
+/** Everything of a router that knows or reaches backend servers. */
+import type { Logger } from "../common/logger.js";
+import type { Metrics } from "../common/metrics.js";
+import type { RandomSource } from "../common/random.js";
+import {
+    type BackendServerConnectionSettings,
+    defaultBackendServerConnectionSettings,
+    HttpBackendServerConnections,
+} from "../connection/backend-server/index.js";
+import type { ConfigurationSource } from "../domain/configuration.js";
+import type { Fleet } from "../domain/fleet.js";
+import { formatLayerRange } from "../domain/layers.js";
+import type { VmList } from "../domain/platform.js";
+import { BackendServerRegistry } from "../process/backend-servers/backend-server-registry.js";
+import { ExactInFlightLedger } from "../process/backend-servers/exact-in-flight-ledger.js";
+import type { BackendServerStatus } from "../process/operator/status.js";
+import { OutlierEjection } from "../process/outlier-ejection/outlier-ejection.js";
+import type { RouterSettings } from "../process/settings/schema.js";
+
+export interface BackendServerPartsOptions {
+    readonly settings: RouterSettings;
+    readonly orderCredential: string | undefined;
+    readonly vmList: VmList;
+    readonly fleet: Fleet;
+    readonly configurations: ConfigurationSource;
+    readonly random: RandomSource;
+    readonly logger: Logger;
+    readonly metrics: Metrics;
+}
+
+export class BackendServerParts {
+    readonly connections: HttpBackendServerConnections;
+    readonly registry: BackendServerRegistry;
+    readonly health: OutlierEjection;
+    readonly ledger: ExactInFlightLedger;
+
+    constructor(options: BackendServerPartsOptions) {
+        const logger = options.logger.withLabel("backend-servers");
+        this.connections = new HttpBackendServerConnections({
+            settings: connectionSettings(options.settings, options.orderCredential),
+            logger,
+            metrics: options.metrics,
+            random: options.random,
+        });
+        this.registry = new BackendServerRegistry({
+            vmList: options.vmList,
+            connections: this.connections,
+            fleet: options.fleet,
+            configuration: options.configurations,
+            logger,
+            metrics: options.metrics,
+            random: options.random,
+            ejected: () => this.health.ejected(),
+        });
+        this.health = new OutlierEjection(
+            { poolOf: id => this.poolOf(id) },
+            id => this.registry.reportDraining(id),
+            logger,
+            options.metrics,
+        );
+        this.ledger = new ExactInFlightLedger(id => this.registry.get(id));
+    }
+
+    /** What `pomelostall status` shows of the backend servers. */
+    status(): BackendServerStatus[] {
+        return this.registry.list().map(record => ({
+            id: record.id,
+            region: record.description.region,
+            availabilityZone: record.description.availabilityZone,
+            className: record.description.class.name,
+            state: this.registry.state(record.id) ?? "unknown",
+            holdings: (record.holdings ?? []).map(holding => `${holding.model} ${formatLayerRange(holding.layers)}`),
+            inFlight: record.ownAttempts,
+        }));
+    }
+
+    /** The backend servers that hold a model which the given one holds too. */
+    private poolOf(id: string): string[] {
+        const models = new Set(this.registry.get(id)?.holdings?.map(holding => holding.model));
+        return this.registry.list()
+            .filter(record => record.holdings?.some(holding => models.has(holding.model)) === true)
+            .map(record => record.id);
+    }
+}
+
+function connectionSettings(
+    settings: RouterSettings,
+    orderCredential: string | undefined,
+): BackendServerConnectionSettings {
+    return {
+        ...defaultBackendServerConnectionSettings,
+        silenceMilliseconds: settings.backendServers.silenceMilliseconds,
+        connectTimeoutMilliseconds: settings.backendServers.connectTimeoutMilliseconds,
+        orderCredential,
+    };
+}
--- a/src/daemon/router.ts
+++ b/src/daemon/router.ts
@@ -3,29 +3,26 @@
 import type { Logger } from "../common/logger.js";
 import type { Metrics } from "../common/metrics.js";
 import { SystemRandom } from "../common/random.js";
-import {
-    type BackendServerConnectionSettings,
-    defaultBackendServerConnectionSettings,
-    HttpBackendServerConnections,
-} from "../connection/backend-server/index.js";
 import type { ConfigurationSource } from "../domain/configuration.js";
 import { type RouterMember, RouterState } from "../domain/fleet.js";
 import { NotFoundError } from "../errors/index.js";
 import { ConfigurationStore, isPlatformWatcher } from "../process/configuration/index.js";
-import { DrainController, DrainState } from "../process/drain/drain-controller.js";
+import { CustomerLimits } from "../process/customer-limits/customer-limits.js";
+import { DrainController } from "../process/drain/drain-controller.js";
 import { HttpListener } from "../process/http/http-listener.js";
 import { OperatorHandler } from "../process/operator/operator-handler.js";
-import { OutlierEjection } from "../process/outlier-ejection/outlier-ejection.js";
 import { HttpKeyValueService, HttpPlatformClient, HttpVmList } from "../process/platform/index.js";
 import { TokenRetryBudgets } from "../process/retry-budgets/token-retry-budgets.js";
 import type { RouterSettings } from "../process/settings/schema.js";
-import type { Admission } from "../request/admission/types.js";
+import { AdaptiveTokenLimit } from "../request/admission/adaptive-token-limit.js";
+import { FairAdmission } from "../request/admission/fair-admission.js";
 import { PipelineAnswerService } from "../request/answer/pipeline-answer-service.js";
 import { ChatHandler } from "../request/chat/chat-handler.js";
 import { CallerHandler } from "../request/http/caller-handler.js";
 import { ModelsHandler } from "../request/models/models-handler.js";
 import { buildConfiguration, createEmptyConfiguration } from "../version/sheet/index.js";
-import { InterimChooser } from "./interim-chooser.js";
+import { BackendServerParts } from "./backend-servers.js";
+import { CurrentPipelineChooser } from "./current-pipeline-chooser.js";
 import { createOperatorEndpoints } from "./operator-endpoints.js";
 import { SoloFleet } from "./solo-fleet.js";
 
@@ -37,6 +34,8 @@
 
 const operatorRequestTimeoutMilliseconds = 10_000;
 const operatorConnections = 100;
+/** Tokens under way at first; the limit then follows what backend servers do. */
+const initialTokenLimit = 100_000;
 
 /** A whole router. */
 export class Router {
@@ -73,25 +72,37 @@
             metrics,
         });
         this.configurations = configurations;
-        const connections = new HttpBackendServerConnections({
-            settings: connectionSettings(settings),
-            logger: logger.withLabel("backend-servers"),
+        const backendServers = new BackendServerParts({
+            settings,
+            orderCredential: undefined,
+            vmList,
+            fleet,
+            configurations,
+            random,
+            logger,
             metrics,
+        });
+        const chooser = new CurrentPipelineChooser({
+            location: fleet.self.location,
+            configurations,
+            servers: backendServers.registry,
             random,
+            logger: logger.withLabel("pipeline-choice"),
         });
-        const chooser = new InterimChooser();
-        const health = new OutlierEjection({ poolOf: id => [id] }, () => undefined, logger, metrics);
+        const tokenLimit = new AdaptiveTokenLimit(initialTokenLimit, metrics);
         const answers = new PipelineAnswerService({
             chooser,
-            connections,
-            ledger: chooser,
-            health,
+            connections: backendServers.connections,
+            ledger: backendServers.ledger,
+            health: backendServers.health,
             retryBudgets: new TokenRetryBudgets(),
+            capacity: tokenLimit,
             random,
             logger: logger.withLabel("answers"),
             metrics,
         });
-        const admission: Admission = { admit: async () => ({ queuedMilliseconds: 0, release: () => undefined }) };
+        const limits = new CustomerLimits(fleet);
+        const admission = new FairAdmission({ limits, tokenLimit, logger: logger.withLabel("admission"), metrics });
         const chat = new ChatHandler(admission, answers, metrics, {
             bodyLimits: {
                 maximumBytes: settings.callers.maximumBodyBytes,
@@ -129,7 +140,7 @@
             chooser,
             callersAddress: () => this.callers.address,
             platformReachable: () => true,
-            backendServers: () => [],
+            backendServers: () => backendServers.status(),
             requestStop: () => void this.stop(),
         });
         const operatorHandler = new OperatorHandler(
@@ -147,10 +158,12 @@
         }, operatorHandler.listener);
         this.lifeCycle.add(configurations);
         this.lifeCycle.add({
-            name: "backend servers",
-            start: () => chooser.refresh(vmList, connections),
-            stop: async () => connections.close(),
+            name: "backend server connections",
+            start: async () => undefined,
+            stop: async () => backendServers.connections.close(),
         });
+        this.lifeCycle.add(backendServers.registry);
+        this.lifeCycle.add(limits);
         this.lifeCycle.add(this.operators);
         this.lifeCycle.add(this.callers);
     }
@@ -176,9 +189,7 @@
     }
 
     private async drainAndStop(): Promise<void> {
-        if (this.drain.state === DrainState.serving) {
-            await this.drain.drain();
-        }
+        await this.drain.drain();
         await this.lifeCycle.stop();
         this.resolveStopped();
     }
@@ -195,11 +206,3 @@
         configurationVersion: 0,
     };
 }
-
-function connectionSettings(settings: RouterSettings): BackendServerConnectionSettings {
-    return {
-        ...defaultBackendServerConnectionSettings,
-        silenceMilliseconds: settings.backendServers.silenceMilliseconds,
-        connectTimeoutMilliseconds: settings.backendServers.connectTimeoutMilliseconds,
-    };
-}
