Follow the throughput bound's split when servers are saturated

The step time that engines report stops growing once their batch is full, so queues of thousands of attempts looked short; and ways that are long for each single request were never taken. Change: load is the work that an attempt will share the server with (attempts and tokens still to be computed); once that waiting makes up over half of a path's cost, the path is drawn from the bound's split into paths. Conclusion: a split that is bent by comparing paths starves servers in series, so one path is drawn.

--- /dev/null
+++ b/bench/support/engine-rig.ts
@@ -0,0 +1,184 @@
+/** Stand-in engines and routers in one process, on the paused clock. */
+import type { Logger } from "../../src/common/logger.js";
+import { SilentLogger } from "../../src/common/logger.js";
+import { type Metrics, SilentMetrics } from "../../src/common/metrics.js";
+import { SeededRandom } from "../../src/common/random.js";
+import type { BackendServerConnection } from "../../src/domain/backend-connection.js";
+import type { BackendServerClass } from "../../src/domain/backend-server.js";
+import type { Configuration } from "../../src/domain/configuration.js";
+import type { BackendServerNotice, Fleet, RouterMember } from "../../src/domain/fleet.js";
+import type { LayerRange } from "../../src/domain/layers.js";
+import type { ModelDescription } from "../../src/domain/model.js";
+import type { VmEntry } from "../../src/domain/platform.js";
+import type { Location, Topology } from "../../src/domain/topology.js";
+import { BackendServerRegistry } from "../../src/process/backend-servers/backend-server-registry.js";
+import { ExactInFlightLedger } from "../../src/process/backend-servers/exact-in-flight-ledger.js";
+import { CostPipelineChooser } from "../../src/request/pipeline-choice/cost-pipeline-chooser.js";
+import {
+    InProcessBackendServerConnection,
+    InProcessStageNetwork,
+    StandInEngine,
+    WeightStore,
+} from "../../src/stand-ins/backend-server/index.js";
+import { PipelineGraphs } from "../../src/version/pipeline-graph/pipeline-graphs.js";
+import { SharedLinkNetwork } from "./shared-link-network.js";
+
+/** One engine of the rig. */
+export interface RigServer {
+    readonly id: string;
+    readonly location: Location;
+    readonly class: BackendServerClass;
+    readonly layers: LayerRange;
+}
+
+/** Spreads notices among the rig's routers. */
+class RigFleet implements Fleet {
+    private readonly listeners = new Set<(notice: BackendServerNotice) => void>();
+    readonly self: RouterMember;
+
+    constructor(id: string, location: Location, private readonly fleets: RigFleet[]) {
+        this.self = {
+            id,
+            address: `in-process:${id}`,
+            location,
+            incarnation: 1,
+            state: "alive",
+            configurationVersion: 1,
+        };
+        fleets.push(this);
+    }
+
+    members(): readonly RouterMember[] {
+        return this.fleets.map(fleet => fleet.self);
+    }
+
+    publishNotice(notice: BackendServerNotice): void {
+        for (const fleet of this.fleets.filter(other => other !== this)) {
+            fleet.listeners.forEach(listener => listener(notice));
+        }
+    }
+
+    onNotice(listener: (notice: BackendServerNotice) => void): () => void {
+        this.listeners.add(listener);
+        return () => this.listeners.delete(listener);
+    }
+
+    reportDemand(): void {}
+    fleetDemand(): number {
+        return 0;
+    }
+}
+
+/** A router's parts up to the choice of a pipeline. */
+export interface RigRouter {
+    readonly id: string;
+    readonly location: Location;
+    readonly registry: BackendServerRegistry;
+    readonly graphs: PipelineGraphs;
+    readonly ledger: ExactInFlightLedger;
+    readonly chooser: CostPipelineChooser;
+    readonly connections: { get(id: string): BackendServerConnection; };
+    readonly random: SeededRandom;
+}
+
+export class EngineRig {
+    readonly engines = new Map<string, StandInEngine>();
+    readonly routers: RigRouter[] = [];
+    private readonly network: InProcessStageNetwork;
+    private readonly sharedNetwork: SharedLinkNetwork;
+    private readonly fleets: RigFleet[] = [];
+    private readonly entries: VmEntry[] = [];
+    private readonly logger: Logger = new SilentLogger();
+    private readonly metrics: Metrics = new SilentMetrics();
+
+    constructor(
+        readonly configuration: Configuration,
+        readonly model: ModelDescription,
+        topology: Topology,
+        private readonly routerLatencyMilliseconds: (from: Location, to: Location) => number,
+        servers: readonly RigServer[],
+    ) {
+        this.network = new InProcessStageNetwork(topology);
+        this.sharedNetwork = new SharedLinkNetwork(this.network, topology);
+        const weightStore = new WeightStore(1e9);
+        servers.forEach((server, index) => this.addEngine(server, weightStore, index));
+    }
+
+    private addEngine(server: RigServer, weightStore: WeightStore, seed: number): void {
+        const { id, location, layers } = server;
+        const { name, version, activationBytes, cacheBytesPerTokenLayer } = this.model;
+        const address = `in-process:${id}`;
+        const engine = new StandInEngine(
+            {
+                id,
+                address,
+                location,
+                class: server.class,
+                holdings: [{ model: name, modelVersion: version, layers, adapters: [] }],
+                activationBytes,
+                cacheBytesPerTokenLayer,
+                maximumAttempts: 100_000,
+            },
+            { network: this.sharedNetwork, weightStore, random: new SeededRandom(seed + 1) },
+        );
+        this.network.add(engine);
+        this.sharedNetwork.add(engine);
+        this.engines.set(id, engine);
+        this.entries.push({
+            id,
+            kind: "backend-server",
+            address,
+            ...location,
+            className: server.class.name,
+            state: "live",
+            incarnation: 1,
+        });
+        engine.start();
+    }
+
+    async addRouter(id: string, location: Location, seed: number): Promise<RigRouter> {
+        const fleet = new RigFleet(id, location, this.fleets);
+        const random = new SeededRandom(seed);
+        const connections = this.connectionsFrom(location);
+        const registry = new BackendServerRegistry({
+            vmList: { list: async () => this.entries },
+            connections,
+            fleet,
+            configuration: { current: this.configuration, onChange: () => () => undefined },
+            logger: this.logger,
+            metrics: this.metrics,
+            random,
+        });
+        const graphs = new PipelineGraphs(this.configuration, registry);
+        const ledger = new ExactInFlightLedger(server => registry.get(server));
+        const chooser = new CostPipelineChooser({ location, graphs, servers: registry, random, logger: this.logger });
+        await registry.start();
+        const router = { id, location, registry, graphs, ledger, chooser, connections, random };
+        this.routers.push(router);
+        return router;
+    }
+
+    /** Stops the routers and engines; timers that are left do nothing more. */
+    async stop(): Promise<void> {
+        await Promise.all(this.routers.map(router => router.registry.stop()));
+        for (const engine of this.engines.values()) {
+            engine.stop();
+        }
+    }
+
+    private connectionsFrom(location: Location) {
+        const made = new Map<string, BackendServerConnection>();
+        return {
+            get: (id: string): BackendServerConnection => {
+                let connection = made.get(id);
+                if (connection === undefined) {
+                    const engine = this.engines.get(id)!;
+                    const latencyMilliseconds = this.routerLatencyMilliseconds(location, engine.location);
+                    connection = new InProcessBackendServerConnection(engine, { latencyMilliseconds });
+                    made.set(id, connection);
+                }
+                return connection;
+            },
+        };
+    }
+}
--- /dev/null
+++ b/bench/support/shared-link-network.ts
@@ -0,0 +1,50 @@
+/** A stage network whose links between availability zones have one bandwidth for all, so that they can fill up. */
+import { monotonicNow } from "../../src/common/clock.js";
+import type { Location, Topology } from "../../src/domain/topology.js";
+import type {
+    StageEndpoint,
+    StageMessage,
+    StageNetwork,
+    StageReply,
+    StageRequest,
+} from "../../src/stand-ins/backend-server/index.js";
+
+export class SharedLinkNetwork implements StageNetwork {
+    /** When each link has sent all that it was given. */
+    private readonly freeAt = new Map<string, number>();
+    private readonly locations = new Map<string, Location>();
+
+    /** The inner network adds each message's own latency and transfer time. */
+    constructor(private readonly inner: StageNetwork, private readonly topology: Topology) {}
+
+    add(endpoint: StageEndpoint): void {
+        this.locations.set(endpoint.address, endpoint.location);
+    }
+
+    send(from: StageEndpoint, address: string, message: StageMessage, failed: () => void): void {
+        const to = this.locations.get(address);
+        const bytes = message.kind === "activations" ? message.bytes : 0;
+        const wait = to === undefined ? 0 : this.queueMilliseconds(from.location, to, bytes);
+        if (wait === 0) {
+            this.inner.send(from, address, message, failed);
+            return;
+        }
+        setTimeout(() => this.inner.send(from, address, message, failed), wait);
+    }
+
+    request(from: StageEndpoint, address: string, request: StageRequest): Promise<StageReply> {
+        return this.inner.request(from, address, request);
+    }
+
+    /** Milliseconds until the link has sent what came before. */
+    private queueMilliseconds(from: Location, to: Location, bytes: number): number {
+        if (from.availabilityZone === to.availabilityZone || bytes === 0) {
+            return 0;
+        }
+        const key = `${from.availabilityZone}>${to.availabilityZone}`;
+        const now = monotonicNow();
+        const start = Math.max(now, this.freeAt.get(key) ?? now);
+        this.freeAt.set(key, start + (bytes * 1000) / this.topology.link(from, to).bytesPerSecond);
+        return start - now;
+    }
+}
--- a/src/process/backend-servers/backend-server-record.ts
+++ b/src/process/backend-servers/backend-server-record.ts
@@ -5,7 +5,6 @@
     type LoadReport,
     ServingRole,
 } from "../../domain/backend-server.js";
-import { stepSmoothingShare } from "./constants.js";
 import type { LoadEvidence } from "./types.js";
 
 export class BackendServerRecord {
@@ -15,8 +14,8 @@
     load: LoadEvidence | undefined;
     /** This router's own attempts that have a stage here; exact. */
     ownAttempts = 0;
-    /** Layer tokens of those attempts, as expected when they began. */
-    ownLayerTokens = 0;
+    /** Tokens of those attempts, as expected when they began. */
+    ownTokens = 0;
     /** Monotonic times in milliseconds. */
     lastEventAt: number | undefined;
     holdingsReadAt: number | undefined;
@@ -72,13 +71,11 @@
     }
 
     setLoad(report: LoadReport, now: number): void {
-        const smoothed = this.load?.smoothedStepMilliseconds ?? report.stepMilliseconds;
         this.load = {
             report,
-            smoothedStepMilliseconds: smoothed + stepSmoothingShare * (report.stepMilliseconds - smoothed),
             receivedAt: now,
             ownAttempts: this.ownAttempts,
-            ownLayerTokens: this.ownLayerTokens,
+            ownTokens: this.ownTokens,
         };
     }
 }
--- a/src/process/backend-servers/constants.ts
+++ b/src/process/backend-servers/constants.ts
@@ -31,5 +31,3 @@
 export const maximumPrefixBlocks = 50_000;
 /** Leaving backend servers that are remembered, so that a list that lags cannot bring one back. */
 export const maximumLeavingServers = 20_000;
-/** Share by which a new step time moves the smoothed one. */
-export const stepSmoothingShare = 0.3;
--- a/src/process/backend-servers/types.ts
+++ b/src/process/backend-servers/types.ts
@@ -16,11 +16,9 @@
 /** A load report, with what is needed to use it later. */
 export interface LoadEvidence {
     readonly report: LoadReport;
-    /** Step time over the last reports; one step alone varies with the prompts that it happens to contain. */
-    readonly smoothedStepMilliseconds: number;
     /** On the monotonic clock, in milliseconds. */
     readonly receivedAt: number;
-    /** This router's own attempts and layer tokens in flight at that time, which the report mostly contains. */
+    /** This router's own attempts and their tokens in flight at that time, which the report mostly contains. */
     readonly ownAttempts: number;
-    readonly ownLayerTokens: number;
+    readonly ownTokens: number;
 }
--- a/src/request/pipeline-choice/candidate-index.ts
+++ b/src/request/pipeline-choice/candidate-index.ts
@@ -29,6 +29,8 @@
 export interface CandidateIndex {
     readonly graph: PipelineGraph;
     readonly groups: readonly CandidateGroup[];
+    /** Candidates of each of the graph's groups, in the graph's order. */
+    readonly graphGroups: readonly (readonly Candidate[])[];
     /** Milliseconds from the router to each of the graph's locations. */
     readonly routerLatencies: readonly number[];
     /** Finds the record of any known server, also of one outside the graph. */
@@ -41,20 +43,23 @@
     find: (id: string) => BackendServerRecord | undefined,
 ): CandidateIndex {
     const weights = samplingWeights(graph);
-    const order = graph.groups.map((group, index) => ({ group, weight: weights[index]! })).sort(
+    const graphGroups: Candidate[][] = graph.groups.map(() => []);
+    const order = graph.groups.map((group, index) => ({ group, weight: weights[index]!, index })).sort(
         (left, right) => compareGroups(left.group, right.group),
     );
     const groups: CandidateGroup[] = [];
     let first: ServerGroup | undefined;
-    for (const { group, weight } of order) {
+    for (const { group, weight, index } of order) {
         if (first === undefined || !isAlike(first, group)) {
             first = group;
             groups.push({ candidates: [] });
         }
-        addMembers(graph, groups.at(-1)!, group, weight, find);
+        const members = createCandidates(graph, groups.at(-1)!, group, weight, find);
+        groups.at(-1)!.candidates.push(...members);
+        graphGroups[index]!.push(...members);
     }
     const routerLatencies = graph.locations.map(to => graph.topology.link(routerLocation, to).latencyMilliseconds);
-    return { graph, groups, routerLatencies, find };
+    return { graph, groups, graphGroups, routerLatencies, find };
 }
 
 /** For each group, its share of the split for one layer token of its capacity. */
@@ -87,25 +92,23 @@
     return layerCount({ first: Math.min(left.first, right.first), last: Math.max(left.last, right.last) });
 }
 
-function addMembers(
+function createCandidates(
     graph: PipelineGraph,
     target: CandidateGroup,
     group: ServerGroup,
     weight: number,
     find: (id: string) => BackendServerRecord | undefined,
-): void {
-    for (const server of group.members) {
+): Candidate[] {
+    return group.members.flatMap(server => {
         const record = find(server.id);
-        if (record !== undefined) {
-            target.candidates.push({
-                server,
-                record,
-                location: group.location,
-                firstBoundary: graph.boundaries.indexOf(group.layers.first),
-                endBoundary: graph.boundaries.indexOf(group.layers.last + 1),
-                weight: weight * server.layerTokensPerSecond,
-                group: target,
-            });
-        }
-    }
+        return record === undefined ? [] : [{
+            server,
+            record,
+            location: group.location,
+            firstBoundary: graph.boundaries.indexOf(group.layers.first),
+            endBoundary: graph.boundaries.indexOf(group.layers.last + 1),
+            weight: weight * server.layerTokensPerSecond,
+            group: target,
+        }];
+    });
 }
--- a/src/request/pipeline-choice/candidate-sampling.ts
+++ b/src/request/pipeline-choice/candidate-sampling.ts
@@ -3,16 +3,16 @@
  * that see the same late reports do not all take the server that looked best.
  */
 import type { RandomSource } from "../../common/random.js";
-import type { Candidate, CandidateGroup } from "./candidate-index.js";
+import type { Candidate } from "./candidate-index.js";
 
 /** Draws up to the given number, with the candidates' weights and without repetition. */
 export function sampleGroup(
-    group: CandidateGroup,
+    candidates: readonly Candidate[],
     isUsable: (candidate: Candidate) => boolean,
     total: number,
     random: RandomSource,
 ): Candidate[] {
-    const remaining = group.candidates.filter(isUsable);
+    const remaining = candidates.filter(isUsable);
     if (remaining.length <= total) {
         return remaining;
     }
--- a/src/request/pipeline-choice/constants.ts
+++ b/src/request/pipeline-choice/constants.ts
@@ -14,3 +14,7 @@
 export const affinityAttemptAllowance = 1;
 /** Least weight of a server in sampling, as a share of the mean, so that each is tried at times. */
 export const minimumSamplingShare = 0.1;
+/** Draws of a path from the throughput bound's split before the choice falls back to the shortest path. */
+export const flowPathDraws = 4;
+/** Share of waiting in a shortest path's cost from which the servers count as saturated. */
+export const saturatedWaitingShare = 0.5;
--- a/src/request/pipeline-choice/cost-pipeline-chooser.ts
+++ b/src/request/pipeline-choice/cost-pipeline-chooser.ts
@@ -14,7 +14,8 @@
 import { buildCandidateIndex, type Candidate, type CandidateIndex } from "./candidate-index.js";
 import { sampleGroup } from "./candidate-sampling.js";
 import { toPipelineChoice } from "./chosen-pipeline.js";
-import { affinityAttemptAllowance, affinityLoadFactor, choicesInGroup } from "./constants.js";
+import { affinityAttemptAllowance, affinityLoadFactor, choicesInGroup, saturatedWaitingShare } from "./constants.js";
+import { drawFlowPath } from "./flow-guided-path.js";
 import { findShortestPath, Phase, type SearchPath } from "./layered-search.js";
 import { estimateLoad, type LoadEstimate, meanLoad } from "./load-estimate.js";
 import { addStageOptions, type SearchTerms, type StageOption } from "./stage-options.js";
@@ -57,7 +58,12 @@
         if (found === undefined) {
             throw new NoPipelineError(request.model.name);
         }
-        const choice = toPipelineChoice(found.terms, found.options, found.path, reasonFor(found));
+        const guided = isSaturated(found) ? this.guide(found.terms) : undefined;
+        const { terms, options, path } = guided ?? found;
+        const reason = guided === undefined
+            ? reasonFor(found)
+            : "split of the throughput bound, since servers are saturated";
+        const choice = toPipelineChoice(terms, options, path, reason);
         this.log(request, choice);
         return choice;
     }
@@ -74,15 +80,13 @@
     /** The servers to compare: some of each group, and those with KV cache of this request. */
     private collect(index: CandidateIndex, request: PipelineRequest, inGroup: number): LoadedCandidate[] {
         const now = monotonicNow();
+        const isUsable = usableFor(request, now);
         const believed = this.options.servers.prefixes.match(request.prefixBlocks);
         const survivors = new Set(request.surviving.map(stage => stage.backendServer));
-        const isUsable = ({ server, record }: Candidate) =>
-            record.isUsable(now) && !request.excluded.has(server.id) && server.role !== "prefill"
-            && (request.adapter === undefined || server.adapters.includes(request.adapter));
         const collected: LoadedCandidate[] = [];
         for (const group of index.groups) {
             const mean = meanLoad(group.candidates);
-            const chosen = new Set(sampleGroup(group, isUsable, inGroup, this.options.random));
+            const chosen = new Set(sampleGroup(group.candidates, isUsable, inGroup, this.options.random));
             for (const candidate of group.candidates) {
                 const { id } = candidate.server;
                 if ((believed.has(id) || survivors.has(id)) && isUsable(candidate)) {
@@ -141,6 +145,17 @@
         return path === undefined ? undefined : { terms, options, path };
     }
 
+    /** A path from the throughput bound's split, for servers that are saturated. */
+    private guide(terms: SearchTerms): FoundPath | undefined {
+        const now = monotonicNow();
+        const guided = drawFlowPath(terms, {
+            isUsable: usableFor(terms.request, now),
+            load: candidate => estimateLoad(candidate, meanLoad(candidate.group.candidates), now),
+            random: this.options.random,
+        });
+        return guided === undefined ? undefined : { terms, ...guided };
+    }
+
     private problem(terms: SearchTerms, options: readonly StageOption[]) {
         const { graph, routerLatencies } = terms.index;
         const { expectedTokens, model: { activationBytes } } = terms.request;
@@ -179,6 +194,20 @@
     }
 }
 
+function usableFor(request: PipelineRequest, now: number): (candidate: Candidate) => boolean {
+    return ({ server, record }) =>
+        record.isUsable(now) && !request.excluded.has(server.id) && server.role !== "prefill"
+        && (request.adapter === undefined || server.adapters.includes(request.adapter));
+}
+
+/** Whether waiting outweighs computing although the path is the shortest, and nothing ties it to certain servers. */
+function isSaturated({ terms, options, path }: FoundPath): boolean {
+    const { request, index } = terms;
+    const waiting = path.steps.reduce((sum, step) => sum + options[step.option]!.waitingMilliseconds, 0);
+    const isFree = request.surviving.length === 0 && path.steps.every(step => step.phase === Phase.whole);
+    return isFree && index.graph.boundIsQuick && waiting > saturatedWaitingShare * path.cost;
+}
+
 /** The most prefix blocks for which the servers that hold at least so many cover every layer; 0 for none. */
 function coveringBlocks(layerTotal: number, collected: readonly LoadedCandidate[]): number {
     const holders = collected.filter(({ believedBlocks }) => believedBlocks > 0)
--- a/src/request/pipeline-choice/load-estimate.ts
+++ b/src/request/pipeline-choice/load-estimate.ts
@@ -7,49 +7,44 @@
 
 export interface LoadEstimate {
     readonly attempts: number;
-    readonly queuedAttempts: number;
-    /** Time of one decoding step under this load. */
-    readonly stepMilliseconds: number;
+    /** Tokens of prompt and answer that are still to be computed for those attempts. */
+    readonly pendingTokens: number;
 }
 
-const noLoad: LoadEstimate = { attempts: 0, queuedAttempts: 0, stepMilliseconds: 0 };
+const noLoad: LoadEstimate = { attempts: 0, pendingTokens: 0 };
 
 /** Mean load of candidates by their last reports, corrected by own work. */
 export function meanLoad(candidates: readonly Candidate[]): LoadEstimate {
     let total = 0;
     let attempts = 0;
-    let queuedAttempts = 0;
-    let stepMilliseconds = 0;
-    for (const { record } of candidates) {
-        if (record.load !== undefined) {
+    let pendingTokens = 0;
+    for (const { record: { load, ownAttempts, ownTokens } } of candidates) {
+        if (load !== undefined) {
             total++;
-            attempts += record.load.report.runningAttempts + record.ownAttempts - record.load.ownAttempts;
-            queuedAttempts += record.load.report.queuedAttempts;
-            stepMilliseconds += record.load.smoothedStepMilliseconds;
+            attempts += load.report.runningAttempts + ownAttempts - load.ownAttempts;
+            pendingTokens += load.report.pendingTokens + ownTokens - load.ownTokens;
         }
     }
     return total === 0 ? noLoad : {
         attempts: Math.max(0, attempts / total),
-        queuedAttempts: queuedAttempts / total,
-        stepMilliseconds: stepMilliseconds / total,
+        pendingTokens: Math.max(0, pendingTokens / total),
     };
 }
 
 /** The load of one server now. The mean is that of its group. */
 export function estimateLoad({ record }: Candidate, mean: LoadEstimate, now: number): LoadEstimate {
-    const { load, ownAttempts } = record;
+    const { load, ownAttempts, ownTokens } = record;
     if (load === undefined) {
-        return { ...mean, attempts: Math.max(mean.attempts, ownAttempts) };
+        return {
+            attempts: Math.max(mean.attempts, ownAttempts),
+            pendingTokens: Math.max(mean.pendingTokens, ownTokens),
+        };
     }
     const trust = 2 ** (-(now - load.receivedAt) / reportHalfLifeMilliseconds);
     const blend = (reported: number, usual: number) => trust * reported + (1 - trust) * usual;
-    const reported = load.report.runningAttempts;
-    const since = ownAttempts - load.ownAttempts;
-    const attempts = Math.max(ownAttempts, blend(reported, mean.attempts) + since, 0);
-    const growth = reported > 0 ? Math.max(attempts, 1) / reported : 1;
+    const { runningAttempts, pendingTokens } = load.report;
     return {
-        attempts,
-        queuedAttempts: blend(load.report.queuedAttempts, mean.queuedAttempts),
-        stepMilliseconds: blend(load.smoothedStepMilliseconds * growth, mean.stepMilliseconds),
+        attempts: Math.max(ownAttempts, blend(runningAttempts, mean.attempts) + ownAttempts - load.ownAttempts),
+        pendingTokens: Math.max(0, blend(pendingTokens, mean.pendingTokens) + ownTokens - load.ownTokens),
     };
 }
--- a/src/request/pipeline-choice/stage-options.ts
+++ b/src/request/pipeline-choice/stage-options.ts
@@ -32,11 +32,15 @@
     readonly entryCost: number;
     readonly cachedLayerCost: number | undefined;
     readonly wholeLayerCost: number;
+    private readonly firstTokens: number;
+    private readonly tokens: number;
+    /** What the work of others adds to each token of this request. */
+    private readonly backlogTokenMilliseconds: number;
 
     constructor(
         terms: SearchTerms,
         readonly candidate: Candidate,
-        private readonly load: LoadEstimate,
+        load: LoadEstimate,
         readonly firstBoundary: number,
         readonly endBoundary: number,
         hasPrefix: boolean,
@@ -45,22 +49,28 @@
     ) {
         const { expectedTokens } = terms.request;
         const laterCost = expectedTokens * this.layerTokenMilliseconds;
+        this.firstTokens = terms.wholeTokens;
+        this.tokens = terms.wholeTokens + expectedTokens;
+        this.backlogTokenMilliseconds = backlogTokenMilliseconds(candidate, load, this.tokens);
         this.location = candidate.location;
         this.entryCost = this.entryFirstMilliseconds + expectedTokens * this.entryTokenMilliseconds;
         this.wholeLayerCost = this.layerFirstMilliseconds(terms, Phase.whole) + laterCost;
         this.cachedLayerCost = hasPrefix ? this.layerFirstMilliseconds(terms, Phase.cached) + laterCost : undefined;
     }
 
-    /** Milliseconds before the first token that do not depend on the layers: import, queue and the step that runs. */
+    /** Milliseconds before the first token that do not depend on this stage's layers. */
     get entryFirstMilliseconds(): number {
-        const { queuedAttempts, attempts, stepMilliseconds } = this.load;
-        const queueMilliseconds = queuedAttempts * stepMilliseconds / Math.max(1, attempts);
-        return this.importMilliseconds + queueMilliseconds + stepMilliseconds;
+        return this.importMilliseconds + this.firstTokens * this.backlogTokenMilliseconds;
     }
 
-    /** Milliseconds of the present batch's step, for each later token. */
+    /** Milliseconds that other work here adds to each later token. */
     get entryTokenMilliseconds(): number {
-        return this.load.stepMilliseconds;
+        return this.backlogTokenMilliseconds;
+    }
+
+    /** Milliseconds of the whole request that are spent on the work of others. */
+    get waitingMilliseconds(): number {
+        return this.tokens * this.backlogTokenMilliseconds;
     }
 
     /** Milliseconds that one layer adds to each later token. */
@@ -75,6 +85,15 @@
     }
 }
 
+/**
+ * Engines batch continuously, so attempts share the server: until this request is done, each other attempt gets at
+ * most as many tokens as this one, and no more than it still needs.
+ */
+function backlogTokenMilliseconds({ server }: Candidate, load: LoadEstimate, tokens: number): number {
+    const sharedTokens = Math.min(load.pendingTokens, load.attempts * tokens);
+    return sharedTokens * layerCount(server.layers) * 1000 / server.layerTokensPerSecond / Math.max(1, tokens);
+}
+
 /** Adds the options of one server. */
 export function addStageOptions(
     options: StageOption[],
--- a/src/version/pipeline-graph/throughput-bound.ts
+++ b/src/version/pipeline-graph/throughput-bound.ts
@@ -3,6 +3,7 @@
  * may run any sub-range of what it holds, and a link serves every boundary, so capacities are shared between edges;
  * the flow is therefore solved as a linear program, which is exact for any mix of ranges.
  */
+import { type LayeredFlow, splitFlow } from "./flow-paths.js";
 import { type LinearProgram, maximize } from "./linear-program.js";
 import type { ServerGroup, ThroughputBound } from "./types.js";
 
@@ -21,7 +22,7 @@
  * Tiny slack on the conservation rows, so that they do not tie in the ratio test: with exact zeros the simplex
  * method can cycle.
  */
-const perturbation = 1e-8;
+const perturbation = 1e-9;
 
 interface ComputeVariable {
     readonly group: number;
@@ -148,18 +149,35 @@
 /** Computes the bound and one split of the load that reaches it. */
 export function computeThroughputBound(input: ThroughputBoundInput): ThroughputBound {
     const program = new FlowProgram(input);
-    const solution = maximize(program.build());
+    const linearProgram = program.build();
+    const solution = maximize(linearProgram);
+    const slack = perturbation * linearProgram.rows.length ** 2;
     const groupLayerTokens = input.groups.map(() => 0);
-    program.computes.forEach((variable, index) => {
+    const flow = emptyFlow(input);
+    program.computes.forEach(({ group, segment }, index) => {
         const tokens = solution.variables[index]! * program.unit;
-        groupLayerTokens[variable.group]! += tokens * program.segmentLayers(variable.segment);
+        groupLayerTokens[group]! += tokens * program.segmentLayers(segment);
+        flow.computes[group * flow.segmentTotal + segment] = tokens;
     });
     const linkBytes = new Float64Array(input.locationTotal * input.locationTotal);
-    program.transfers.forEach((variable, index) => {
+    program.transfers.forEach(({ boundary, from, to }, index) => {
         const tokens = solution.variables[program.computes.length + index]! * program.unit;
-        if (variable.from !== variable.to) {
-            linkBytes[variable.from * input.locationTotal + variable.to]! += tokens * input.activationBytes;
+        flow.transfers[(boundary * input.locationTotal + from) * input.locationTotal + to] = tokens;
+        if (from !== to) {
+            linkBytes[from * input.locationTotal + to]! += tokens * input.activationBytes;
         }
     });
-    return { tokensPerSecond: solution.value * program.unit, groupLayerTokens, linkBytes };
+    const tokensPerSecond = solution.value > slack ? solution.value * program.unit : 0;
+    return { tokensPerSecond, groupLayerTokens, linkBytes, paths: splitFlow(flow, tokensPerSecond) };
+}
+
+function emptyFlow({ boundaries, groups, locationTotal }: ThroughputBoundInput): LayeredFlow {
+    const segmentTotal = boundaries.length - 1;
+    return {
+        segmentTotal,
+        locationTotal,
+        groupLocations: groups.map(group => group.location),
+        computes: new Float64Array(groups.length * segmentTotal),
+        transfers: new Float64Array(boundaries.length * locationTotal * locationTotal),
+    };
 }
--- a/src/version/pipeline-graph/types.ts
+++ b/src/version/pipeline-graph/types.ts
@@ -26,6 +26,21 @@
     readonly layerTokensPerSecond: number;
 }
 
+/** A run of one path within one group. */
+export interface FlowPathStep {
+    /** Index into the graph's groups. */
+    readonly group: number;
+    /** Indexes into the graph's boundaries. */
+    readonly firstBoundary: number;
+    readonly endBoundary: number;
+}
+
+/** A part of the split that follows one way through the groups. */
+export interface FlowPath {
+    readonly tokensPerSecond: number;
+    readonly steps: readonly FlowPathStep[];
+}
+
 /** The largest rate that the servers and links can carry, and how that rate is split. */
 export interface ThroughputBound {
     /** Tokens a second through all layers. */
@@ -34,4 +49,6 @@
     readonly groupLayerTokens: readonly number[];
     /** For each pair of locations (from times the number of locations, plus to), bytes a second in the split; 0 within one. */
     readonly linkBytes: Float64Array;
+    /** The split as paths; their rates add up to the bound. */
+    readonly paths: readonly FlowPath[];
 }
--- a/test/process/backend-servers/backend-server-registry.test.ts
+++ b/test/process/backend-servers/backend-server-registry.test.ts
@@ -229,10 +229,10 @@
         const end = ledger.begin(plan, 100);
         ledger.begin(plan, 50);
         connection("s0").broadcast.publish({ type: "load", load });
-        expect([record.ownAttempts, record.ownLayerTokens, record.load!.ownAttempts]).toEqual([2, 1_200, 2]);
+        expect([record.ownAttempts, record.ownTokens, record.load!.ownAttempts]).toEqual([2, 150, 2]);
         end();
         end();
-        expect([record.ownAttempts, record.ownLayerTokens]).toEqual([1, 400]);
+        expect([record.ownAttempts, record.ownTokens]).toEqual([1, 50]);
     });
 });
 
--- a/test/version/pipeline-graph/throughput-bound.test.ts
+++ b/test/version/pipeline-graph/throughput-bound.test.ts
@@ -32,6 +32,29 @@
     return smallest;
 }
 
+/** The split's paths lead through all boundaries and groups that hold them, and add up to the bound. */
+function expectPathsMatch(graph: PipelineGraph): void {
+    const { paths, tokensPerSecond } = graph.bound;
+    const total = paths.reduce((sum, path) => sum + path.tokensPerSecond, 0);
+    expect(Math.abs(total - tokensPerSecond)).toBeLessThanOrEqual(0.02 * tokensPerSecond);
+    const used = graph.groups.map(() => 0);
+    for (const { steps, tokensPerSecond: rate } of paths) {
+        let boundary = 0;
+        for (const step of steps) {
+            const { layers } = graph.groups[step.group]!;
+            expect(step.firstBoundary).toBe(boundary);
+            boundary = step.endBoundary;
+            const [first, end] = [graph.boundaries[step.firstBoundary]!, graph.boundaries[boundary]!];
+            expect(layers.first <= first && end <= layers.last + 1).toBe(true);
+            used[step.group]! += rate * (end - first);
+        }
+        expect(boundary).toBe(graph.boundaries.length - 1);
+    }
+    graph.groups.forEach((group, index) => {
+        expect(used[index]!).toBeLessThanOrEqual(group.layerTokensPerSecond * (1 + 1e-4));
+    });
+}
+
 const capacityArbitrary = fastCheck.integer({ min: 1, max: 50 });
 
 describe("throughput bound", () => {
@@ -51,6 +74,7 @@
                 const graph = new PipelineGraph(model(layerTotal), unlimited, servers);
                 const expected = bruteForceBound(layerTotal, servers);
                 expect(graph.bound.tokensPerSecond).toBeCloseTo(expected, 3);
+                expectPathsMatch(graph);
                 expect(graph.isComplete).toBe(expected > 0);
             }),
             { seed: 11, numRuns: 300 },
