Check the bookings' invariants over interleavings of faults

fast-check drives real ledgers and booking services over the in-process platform: at most one run of a key by the service's own record, not-run true, an answer that of the one run. The stand-in's restored data keeps its revisions rising, as docs/PLATFORM.md now demands of a restore.

--- a/src/stand-ins/platform/key-value-store.ts
+++ b/src/stand-ins/platform/key-value-store.ts
@@ -55,10 +55,9 @@
         return { entries: new Map(this.entries), revision: this.revisionNumber };
     }
 
-    /** Loses every change since the snapshot, as a restored backup does. */
+    /** Loses every change since the snapshot, as a restored backup does. Revisions go on, as PLATFORM.md demands. */
     restore(snapshot: StoreSnapshot): void {
         this.entries = new Map(snapshot.entries);
-        this.revisionNumber = snapshot.revision;
         this.history = this.history.filter(event => event.entry.revision <= snapshot.revision);
     }
 
--- a/test/process/ledger/ledger-fixture.ts
+++ b/test/process/ledger/ledger-fixture.ts
@@ -9,14 +9,17 @@
 import type { BookingAnswer, BookingRequest, DispatchResult } from "../../../src/request/booking/types.js";
 import { StandInPlatform } from "../../../src/stand-ins/platform/index.js";
 
+const pauseCheckMilliseconds = 100;
+
 /** A plain service that books trucks, and knows how often each booking ran. */
 export class CountingService {
     readonly runs = new Map<string, number>();
+    readonly runsByRequest = new Map<string, number>();
     /** What becomes of the next calls. */
     behaviour: "answer" | "refuse" | "run-and-lose" = "answer";
     latencyMilliseconds = 0;
 
-    async call(name: string): Promise<DispatchResult> {
+    async call(name: string, requestId = ""): Promise<DispatchResult> {
         const { behaviour } = this;
         if (this.latencyMilliseconds > 0) {
             await new Promise(resolve => setTimeout(resolve, this.latencyMilliseconds));
@@ -25,6 +28,7 @@
             return { kind: "not-run", error: new PlatformUnavailableError("the service refused", false) };
         }
         this.runs.set(name, (this.runs.get(name) ?? 0) + 1);
+        this.runsByRequest.set(requestId, (this.runsByRequest.get(requestId) ?? 0) + 1);
         if (behaviour === "run-and-lose") {
             return { kind: "unknown", error: new PlatformUnavailableError("the answer was lost", true) };
         }
@@ -39,7 +43,7 @@
     readonly recorder: OutcomeRecorder;
     readonly bookings: BookingService;
     alive = true;
-    /** Peers' operations wait, as when the process is stopped for a while. */
+    /** Peers get no answer and bookings do not go on, as when the process is stopped for a while. */
     paused = false;
 
     constructor(readonly id: string, private readonly fixture: LedgerFixture) {
@@ -57,7 +61,7 @@
         });
         this.recorder = new OutcomeRecorder(this.ledger, logger, metrics);
         this.bookings = new BookingService({
-            ledger: this.ledger,
+            ledger: { submit: (operation, timeout) => this.submitAndWake(operation, timeout) },
             recordOutcome: (key, claimId, outcome) => this.recorder.record(key, claimId, outcome),
             routerId: id,
             routerIncarnation: 1,
@@ -70,6 +74,24 @@
         });
     }
 
+    /** A booking goes on only once its router is not paused; after a crash it never does. */
+    private async submitAndWake(operation: LedgerOperation, timeoutMilliseconds: number): Promise<LedgerResult> {
+        try {
+            return await this.ledger.submit(operation, timeoutMilliseconds);
+        }
+        finally {
+            while (this.paused || !this.alive) {
+                await new Promise(resolve => setTimeout(resolve, pauseCheckMilliseconds));
+            }
+        }
+    }
+
+    /** The process ends: nothing that it was doing goes on. */
+    async crash(): Promise<void> {
+        this.alive = false;
+        await this.ledger.stop();
+    }
+
     /** Carries an operation to another router, as the peer protocol does. */
     submit(routerId: string, operation: LedgerOperation, timeoutMilliseconds: number): Promise<LedgerResult> {
         const peer = this.fixture.routers.find(router => router.id === routerId);
@@ -82,9 +104,14 @@
         return Promise.race([answer, timeout]);
     }
 
-    book(idempotencyKey: string, content = "truck", timeoutMilliseconds = 5_000): Promise<BookingAnswer> {
+    book(
+        idempotencyKey: string,
+        content = "truck",
+        timeoutMilliseconds = 5_000,
+        requestId = `request-${++this.fixture.requests}`,
+    ): Promise<BookingAnswer> {
         const request: BookingRequest = {
-            requestId: `request-${++this.fixture.requests}`,
+            requestId,
             customer: "yard",
             service: "bookings",
             idempotencyKey,
@@ -93,7 +120,7 @@
             body: new TextEncoder().encode(content),
             deadline: monotonicNow() + timeoutMilliseconds,
         };
-        return this.bookings.book(request, () => this.fixture.service.call(idempotencyKey));
+        return this.bookings.book(request, () => this.fixture.service.call(idempotencyKey, requestId));
     }
 }
 
