Heal versions that a platform accepted twice after losing everything

Change: routers that see the head with their number but another push ID write its sheet again under the next number.

--- a/src/process/configuration/configuration-store.ts
+++ b/src/process/configuration/configuration-store.ts
@@ -226,7 +226,11 @@
             await this.readFromPlatform(observed.head);
         }
         else if (version < this.configuration.version) {
-            await this.restoreHead(observed);
+            await this.repairHead(observed, async () => this.stored);
+        }
+        else if (observed.head !== undefined && observed.head.pushId !== this.configuration.pushId) {
+            const { head } = observed;
+            await this.repairHead(observed, async () => renumber(await this.repository.readVersion(head)));
         }
         else {
             this.olderHeads = 0;
@@ -267,20 +271,26 @@
     }
 
     /**
-     * Writes the version in force as the head again, after several polls showed an older one. The compare-and-swap fails
-     * if the platform only answered with older data, and then nothing is changed.
+     * Writes a new head after several polls showed that the platform lost data: the version in force where the head is
+     * older, and the head's own sheet under the next number where another push has this router's number. The
+     * compare-and-swap fails if the platform only answered with older data, and then nothing is changed.
      */
-    private async restoreHead(observed: ObservedHead): Promise<void> {
+    private async repairHead(observed: ObservedHead, choose: () => Promise<StoredVersion | undefined>): Promise<void> {
         this.olderHeads++;
-        if (this.stored === undefined || this.olderHeads < olderHeadsBeforeRestore) {
+        if (this.olderHeads < olderHeadsBeforeRestore) {
             return;
         }
         this.olderHeads = 0;
-        const restored = await this.repository.accept(this.stored, observed.revision);
-        this.options.logger.warn("the platform's head went back", {
+        const version = await choose();
+        if (version === undefined) {
+            return;
+        }
+        const repaired = await this.repository.accept(version, observed.revision);
+        this.options.logger.warn("the platform lost versions", {
             found: observed.head?.version ?? 0,
-            inForce: this.stored.record.version,
-            restored,
+            inForce: this.configuration.version,
+            written: version.record.version,
+            repaired,
         });
     }
 
@@ -329,3 +339,11 @@
         }
     }
 }
+
+/** The same sheet as the version after it. */
+function renumber(stored: StoredVersion): StoredVersion {
+    const { record, compressedSheet } = stored;
+    const version = record.version + 1;
+    const renumbered = { ...record, version, parent: record.version, pushId: `${record.pushId}-${version}` };
+    return { record: renumbered, compressedSheet };
+}
