--- a/src/daemon/backend-servers.ts
+++ b/src/daemon/backend-servers.ts
@@ -15,6 +15,7 @@
 import { ExactInFlightLedger } from "../process/backend-servers/exact-in-flight-ledger.js";
 import type { BackendServerStatus } from "../process/operator/status.js";
 import { OutlierEjection } from "../process/outlier-ejection/outlier-ejection.js";
+import { ServiceDirectory } from "../process/service-directory/service-directory.js";
 import type { RouterSettings } from "../process/settings/schema.js";
 
 export interface BackendServerPartsOptions {
@@ -31,6 +32,7 @@
 export class BackendServerParts {
     readonly connections: HttpBackendServerConnections;
     readonly registry: BackendServerRegistry;
+    readonly services = new ServiceDirectory();
     readonly health: OutlierEjection;
     readonly ledger: ExactInFlightLedger;
 
@@ -51,6 +53,7 @@
             metrics: options.metrics,
             random: options.random,
             ejected: () => this.health.ejected(),
+            onList: entries => this.services.applyList(entries),
         });
         this.health = new OutlierEjection(
             { poolOf: id => this.poolOf(id) },
--- a/src/daemon/router.ts
+++ b/src/daemon/router.ts
@@ -5,7 +5,6 @@
 import { SystemRandom } from "../common/random.js";
 import type { ConfigurationSource } from "../domain/configuration.js";
 import { type RouterMember, RouterState } from "../domain/fleet.js";
-import { NotFoundError } from "../errors/index.js";
 import { ConfigurationStore, isPlatformWatcher } from "../process/configuration/index.js";
 import { CustomerLimits } from "../process/customer-limits/customer-limits.js";
 import { DrainController } from "../process/drain/drain-controller.js";
@@ -20,8 +19,11 @@
 import { ChatHandler } from "../request/chat/chat-handler.js";
 import { CallerHandler } from "../request/http/caller-handler.js";
 import { ModelsHandler } from "../request/models/models-handler.js";
+import { ServiceCaller } from "../request/service/service-caller.js";
+import { ServiceHandler } from "../request/service/service-handler.js";
 import { buildConfiguration, createEmptyConfiguration } from "../version/sheet/index.js";
 import { BackendServerParts } from "./backend-servers.js";
+import { BookingParts } from "./bookings.js";
 import { CurrentPipelineChooser } from "./current-pipeline-chooser.js";
 import { createOperatorEndpoints } from "./operator-endpoints.js";
 import { SoloFleet } from "./solo-fleet.js";
@@ -90,12 +92,13 @@
             logger: logger.withLabel("pipeline-choice"),
         });
         const tokenLimit = new AdaptiveTokenLimit(initialTokenLimit, metrics);
+        const retryBudgets = new TokenRetryBudgets();
         const answers = new PipelineAnswerService({
             chooser,
             connections: backendServers.connections,
             ledger: backendServers.ledger,
             health: backendServers.health,
-            retryBudgets: new TokenRetryBudgets(),
+            retryBudgets,
             capacity: tokenLimit,
             random,
             logger: logger.withLabel("answers"),
@@ -103,14 +106,31 @@
         });
         const limits = new CustomerLimits(fleet);
         const admission = new FairAdmission({ limits, tokenLimit, logger: logger.withLabel("admission"), metrics });
+        const bodyLimits = {
+            maximumBytes: settings.callers.maximumBodyBytes,
+            timeoutMilliseconds: settings.callers.bodyTimeoutMilliseconds,
+        };
         const chat = new ChatHandler(admission, answers, metrics, {
-            bodyLimits: {
-                maximumBytes: settings.callers.maximumBodyBytes,
-                timeoutMilliseconds: settings.callers.bodyTimeoutMilliseconds,
-            },
+            bodyLimits,
             maximumTimeoutMilliseconds: settings.callers.maximumTimeoutMilliseconds,
         });
         const models = new ModelsHandler();
+        const bookings = new BookingParts({ settings, keyValueService, fleet, logger, metrics });
+        const serviceCaller = new ServiceCaller({
+            instances: backendServers.services,
+            own: fleet.self.location,
+            topology: () => configurations.current.topology,
+            health: backendServers.health,
+            retryBudgets,
+            random,
+            logger: logger.withLabel("services"),
+            metrics,
+        });
+        const services = new ServiceHandler(serviceCaller, bookings.service, {
+            bodyLimits,
+            maximumTimeoutMilliseconds: settings.callers.maximumTimeoutMilliseconds,
+            maximumAnswerBytes: settings.callers.maximumBodyBytes,
+        });
         const handler = new CallerHandler(
             configurations,
             this.drain,
@@ -118,7 +138,7 @@
                 chat: exchange => chat.handle(exchange),
                 listModels: exchange => models.list(exchange),
                 retrieveModel: (exchange, name) => models.retrieve(exchange, name),
-                service: (_exchange, name) => Promise.reject(new NotFoundError(`There is no service ${name}.`)),
+                service: (exchange, name, path) => services.handle(exchange, name, path),
             },
             () => this.drain.ready && configurations.current.version > 0,
             metrics,
@@ -164,6 +184,13 @@
         });
         this.lifeCycle.add(backendServers.registry);
         this.lifeCycle.add(limits);
+        this.lifeCycle.add(bookings.ledger);
+        this.lifeCycle.add(bookings.outcomes);
+        this.lifeCycle.add({
+            name: "service connections",
+            start: async () => undefined,
+            stop: () => serviceCaller.close(),
+        });
         this.lifeCycle.add(this.operators);
         this.lifeCycle.add(this.callers);
     }
--- a/src/process/backend-servers/backend-server-registry.ts
+++ b/src/process/backend-servers/backend-server-registry.ts
@@ -42,6 +42,8 @@
     readonly depths?: SubsetDepths;
     /** Backend servers that outlier ejection leaves out for now. */
     readonly ejected?: () => ReadonlySet<string>;
+    /** Told of each list that was read, with VMs of every kind. */
+    readonly onList?: (entries: readonly VmEntry[]) => void;
 }
 
 const noneEjected: ReadonlySet<string> = new Set();
@@ -199,6 +201,7 @@
     }
 
     private applyList(entries: readonly VmEntry[]): void {
+        this.options.onList?.(entries);
         const servers = entries.filter(entry => entry.kind === "backend-server");
         const listed = new Set(servers.map(entry => entry.id));
         for (const entry of servers) {
--- /dev/null
+++ b/src/process/service-directory/service-directory.ts
@@ -0,0 +1,38 @@
+/** The VMs of plain services, from the platform's list. While the list cannot be read, the last one stands. */
+import type { VmEntry } from "../../domain/platform.js";
+import type { Location } from "../../domain/topology.js";
+
+/** A VM that runs a plain service. */
+export interface ServiceVm {
+    readonly id: string;
+    /** Base URL by IP number. */
+    readonly address: string;
+    readonly location: Location;
+}
+
+export class ServiceDirectory {
+    private services: ReadonlyMap<string, readonly ServiceVm[]> = new Map();
+
+    /** Takes over a list; VMs that are leaving get no new calls. */
+    applyList(entries: readonly VmEntry[]): void {
+        const services = new Map<string, ServiceVm[]>();
+        for (const entry of entries) {
+            if (entry.kind === "service" && entry.state === "live") {
+                const vms = services.get(entry.className) ?? [];
+                vms.push(toServiceVm(entry));
+                services.set(entry.className, vms);
+            }
+        }
+        this.services = services;
+    }
+
+    /** The VMs that may get new calls. */
+    instancesOf(service: string): readonly ServiceVm[] {
+        return this.services.get(service) ?? [];
+    }
+}
+
+function toServiceVm(entry: VmEntry): ServiceVm {
+    const { id, address, region, availabilityZone } = entry;
+    return { id, address, location: { region, availabilityZone } };
+}
--- a/src/request/service/service-caller.ts
+++ b/src/request/service/service-caller.ts
@@ -166,7 +166,8 @@
         return result;
     }
 
-    private failure(call: ServiceCall, result: Exclude<DispatchResult, { kind: "responded"; }>): PomelostallError {
+    /** What a call that got no response means for the caller. */
+    failure(call: ServiceCall, result: Exclude<DispatchResult, { kind: "responded"; }>): PomelostallError {
         const { name, idempotentMethods } = call.service;
         if (result.kind === DispatchKind.notRun) {
             return new ServiceUnreachableError(name, result.error);
--- /dev/null
+++ b/src/request/service/service-handler.ts
@@ -0,0 +1,166 @@
+/**
+ * ANY /services/NAME/PATH: calls of idempotent methods stream through; every other call is a booking, which runs at
+ * most once and is answered from the ledger when its key was seen before.
+ */
+import type { ServerResponse } from "node:http";
+import { pipeline } from "node:stream/promises";
+import type { PlainService } from "../../domain/configuration.js";
+import { BadRequestError, NotFoundError } from "../../errors/index.js";
+import type { BookingService } from "../booking/booking-service.js";
+import type { BookingAnswer, DispatchResult as BookingDispatchResult, ServiceAnswer } from "../booking/types.js";
+import { mayUse } from "../chat/chat-handler.js";
+import { requestDeadline } from "../http/deadline.js";
+import { toPomelostallError } from "../http/error-body.js";
+import { type BodyLimits, readBody } from "../http/read-body.js";
+import type { CallerExchange } from "../http/types.js";
+import type { ServiceCaller } from "./service-caller.js";
+import { DispatchKind, type DispatchResult, type ServiceCall, type ServiceResponse } from "./types.js";
+
+const idempotencyKeyHeader = "idempotency-key";
+const maximumKeyCharacters = 256;
+const defaultContentType = "application/octet-stream";
+
+export interface ServiceHandlerOptions {
+    readonly bodyLimits: BodyLimits;
+    readonly maximumTimeoutMilliseconds: number;
+    /** Longest answer to a booking that is read. */
+    readonly maximumAnswerBytes: number;
+}
+
+export class ServiceHandler {
+    constructor(
+        private readonly caller: ServiceCaller,
+        private readonly bookings: BookingService,
+        private readonly options: ServiceHandlerOptions,
+    ) {}
+
+    /** Answers one call; every failure before the first byte is thrown. */
+    async handle(exchange: CallerExchange, name: string, path: string): Promise<void> {
+        const service = findService(exchange, name);
+        const body = await readBody(exchange.request, this.options.bodyLimits);
+        const call = this.createCall(exchange, service, path, body);
+        if (service.idempotentMethods.includes(call.method)) {
+            const response = await this.caller.call({ ...call, signal: exchange.callerGone });
+            await streamResponse(response, exchange.response);
+            return;
+        }
+        await this.book(exchange, call, body);
+    }
+
+    private createCall(exchange: CallerExchange, service: PlainService, path: string, body: Buffer): ServiceCall {
+        const { request } = exchange;
+        const query = (request.url ?? "").split("?", 2)[1];
+        return {
+            requestId: exchange.requestId,
+            customer: exchange.customer.name,
+            service,
+            configurationVersion: exchange.configuration.version,
+            method: request.method ?? "GET",
+            path: query === undefined ? path : `${path}?${query}`,
+            headers: request.headers,
+            body: body.length === 0 ? undefined : body,
+            deadline: requestDeadline(
+                request,
+                exchange.startedAt,
+                service.defaultTimeoutMilliseconds,
+                this.options.maximumTimeoutMilliseconds,
+            ),
+        };
+    }
+
+    /** The call goes on when the caller goes away, since what became of it is recorded. */
+    private async book(exchange: CallerExchange, call: ServiceCall, body: Buffer): Promise<void> {
+        const answer = await this.bookings.book({
+            requestId: call.requestId,
+            customer: call.customer,
+            service: call.service.name,
+            idempotencyKey: readIdempotencyKey(exchange),
+            method: call.method,
+            path: call.path,
+            body,
+            deadline: call.deadline,
+        }, () => this.dispatchOnce(call));
+        sendAnswer(exchange.response, answer);
+    }
+
+    private async dispatchOnce(call: ServiceCall): Promise<BookingDispatchResult> {
+        const result = await this.caller.dispatchOnce(call);
+        if (result.kind !== DispatchKind.responded) {
+            return { kind: result.kind, error: this.caller.failure(call, result) };
+        }
+        return this.readAnswer(call, result);
+    }
+
+    private async readAnswer(
+        call: ServiceCall,
+        result: Extract<DispatchResult, { kind: "responded"; }>,
+    ): Promise<BookingDispatchResult> {
+        try {
+            return { kind: "response", answer: await readWhole(result.response, this.options.maximumAnswerBytes) };
+        }
+        catch (error) {
+            const unknown = { kind: DispatchKind.unknown, error: toPomelostallError(error) };
+            return { kind: "unknown", error: this.caller.failure(call, unknown) };
+        }
+    }
+}
+
+function findService(exchange: CallerExchange, name: string): PlainService {
+    const service = exchange.configuration.services.get(name);
+    if (service === undefined || !mayUse(service.customers, exchange.customer)) {
+        throw new NotFoundError(`The service '${name}' does not exist or is not offered to this customer.`);
+    }
+    return service;
+}
+
+function readIdempotencyKey(exchange: CallerExchange): string | undefined {
+    const key = exchange.request.headers[idempotencyKeyHeader];
+    if (key === undefined) {
+        return undefined;
+    }
+    if (typeof key !== "string" || key.length === 0 || key.length > maximumKeyCharacters) {
+        throw new BadRequestError(`Idempotency-Key must have 1 to ${maximumKeyCharacters} characters.`);
+    }
+    return key;
+}
+
+async function streamResponse(from: ServiceResponse, to: ServerResponse): Promise<void> {
+    to.statusCode = from.status;
+    for (const [name, value] of Object.entries(from.headers)) {
+        to.setHeader(name, value);
+    }
+    await pipeline(from.body, to);
+}
+
+async function readWhole(response: ServiceResponse, maximumBytes: number): Promise<ServiceAnswer> {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    for await (const chunk of response.body as AsyncIterable<Buffer>) {
+        size += chunk.length;
+        if (size > maximumBytes) {
+            response.body.destroy();
+            throw new BadRequestError(`The service's answer is over ${maximumBytes} bytes.`);
+        }
+        chunks.push(chunk);
+    }
+    const contentType = response.headers["content-type"];
+    return {
+        status: response.status,
+        contentType: typeof contentType === "string" ? contentType : defaultContentType,
+        body: Buffer.concat(chunks),
+    };
+}
+
+function sendAnswer(response: ServerResponse, { answer, replayedFrom, bodyOmitted }: BookingAnswer): void {
+    response.statusCode = answer.status;
+    response.setHeader("Content-Type", answer.contentType);
+    response.setHeader("Content-Length", answer.body.length);
+    if (replayedFrom !== undefined) {
+        response.setHeader("Idempotency-Replayed", "true");
+        response.setHeader("X-Original-Request-Id", replayedFrom);
+    }
+    if (bodyOmitted) {
+        response.setHeader("X-Body-Omitted", "true");
+    }
+    response.end(answer.body);
+}
