Measure recovery beside a whole restart

Aim: the users' bound of 1.6 s to the next token, under death, stall, silent connection and link, degraded link, twice.

--- /dev/null
+++ b/bench/answer-world.ts
@@ -0,0 +1,267 @@
+/**
+ * The real answer service, pipeline choice and outlier ejection over stand-in engines in process, and callers that
+ * check what they get; for benchmarks and invariant tests of recovery on a paused clock.
+ */
+import { monotonicNow } from "../src/common/clock.js";
+import { SilentLogger } from "../src/common/logger.js";
+import { SilentMetrics } from "../src/common/metrics.js";
+import { SeededRandom } from "../src/common/random.js";
+import type { BackendServerClass } from "../src/domain/backend-server.js";
+import type { Configuration, Route } from "../src/domain/configuration.js";
+import type { ChatMessage } from "../src/domain/engine-protocol.js";
+import { layerCount } from "../src/domain/layers.js";
+import type { ModelDescription } from "../src/domain/model.js";
+import { estimatePromptTokens } from "../src/domain/prefix-blocks.js";
+import type { Topology } from "../src/domain/topology.js";
+import type { PomelostallError } from "../src/errors/index.js";
+import { BackendServerRecord } from "../src/process/backend-servers/backend-server-record.js";
+import { ExactInFlightLedger } from "../src/process/backend-servers/exact-in-flight-ledger.js";
+import { PrefixIndex } from "../src/process/backend-servers/prefix-index.js";
+import { OutlierEjection } from "../src/process/outlier-ejection/outlier-ejection.js";
+import { TokenRetryBudgets } from "../src/process/retry-budgets/token-retry-budgets.js";
+import type { CapacitySignals } from "../src/request/admission/adaptive-token-limit.js";
+import type { RecoveryStrategy } from "../src/request/answer/dependencies.js";
+import { PipelineAnswerService } from "../src/request/answer/pipeline-answer-service.js";
+import type { Answer, AnswerEnd } from "../src/request/answer/types.js";
+import { CostPipelineChooser } from "../src/request/pipeline-choice/cost-pipeline-chooser.js";
+import {
+    expectedAnswer,
+    InProcessBackendServerConnection,
+    InProcessStageNetwork,
+    StandInEngine,
+    WeightStore,
+} from "../src/stand-ins/backend-server/index.js";
+import { PipelineGraphs } from "../src/version/pipeline-graph/pipeline-graphs.js";
+
+export const layerTotal = 24;
+
+export const model: ModelDescription = {
+    name: "model",
+    version: "1",
+    layerTotal,
+    layerBytes: 100_000_000,
+    activationBytes: 16_384,
+    cacheBytesPerTokenLayer: 4_096,
+    adapters: [],
+    maximumTokens: 4_096,
+};
+
+export const route: Route = {
+    name: "model",
+    model: "model",
+    priority: 0,
+    defaultTimeoutMilliseconds: 60_000,
+    retryShare: 0.1,
+    customers: [],
+};
+
+const topology: Topology = {
+    link: (from, to) => ({
+        latencyMilliseconds: from.availabilityZone === to.availabilityZone ? 0.1 : 0.6,
+        bytesPerSecond: 1_250_000_000,
+    }),
+};
+
+const linkLatencyMilliseconds = 0.3;
+
+export interface AnswerWorldOptions {
+    readonly seed: number;
+    readonly availabilityZones: number;
+    /** Servers for each half of the model in each availability zone. */
+    readonly serversForEachHalf: number;
+    readonly layerTokensPerSecond: number;
+    readonly recovery?: RecoveryStrategy;
+    readonly capacity?: CapacitySignals;
+}
+
+/** A caller that notes what it reads. */
+export class WorldCaller {
+    text = "";
+    count = 0;
+    startedAt = monotonicNow();
+    firstTokenAt: number | undefined;
+    readonly tokenTimes: number[] = [];
+    outOfOrder = false;
+    end: AnswerEnd | undefined;
+    error: PomelostallError | undefined;
+    answer: Answer | undefined;
+    done: Promise<void> | undefined;
+
+    constructor(
+        readonly requestId: string,
+        readonly messages: readonly ChatMessage[],
+        readonly maximumTokens: number,
+    ) {}
+
+    start(service: PipelineAnswerService, configuration: Configuration, timeoutMilliseconds: number): void {
+        const { requestId, messages, maximumTokens } = this;
+        const deadline = monotonicNow() + timeoutMilliseconds;
+        const answer = service.start({ requestId, configuration, route, model, messages, maximumTokens, deadline });
+        this.answer = answer;
+        this.done = new Promise(resolve => {
+            answer.events.subscribe({
+                next: event => {
+                    if (event.type === "end") {
+                        this.end = event;
+                        return;
+                    }
+                    this.outOfOrder ||= event.position !== this.count;
+                    this.count++;
+                    this.text += event.text;
+                    this.firstTokenAt ??= monotonicNow();
+                    this.tokenTimes.push(monotonicNow());
+                },
+                error: error => {
+                    this.error = error as PomelostallError;
+                    resolve();
+                },
+                complete: () => resolve(),
+            });
+        });
+    }
+
+    /** Whether the caller has its own whole answer, or a part of its own and an error. */
+    get intact(): boolean {
+        const expected = expectedAnswer(this.messages, this.maximumTokens);
+        if (this.outOfOrder || !expected.text.startsWith(this.text)) {
+            return false;
+        }
+        return this.end === undefined || (this.text === expected.text && this.end.completionTokens === this.count);
+    }
+}
+
+export class AnswerWorld {
+    readonly engines = new Map<string, StandInEngine>();
+    readonly links = new Map<string, InProcessBackendServerConnection>();
+    readonly network = new InProcessStageNetwork(topology);
+    readonly service: PipelineAnswerService;
+    readonly configuration = {
+        version: 1,
+        models: new Map([[model.name, model]]),
+        topology,
+    } as Partial<Configuration> as Configuration;
+    private readonly records = new Map<string, BackendServerRecord>();
+    private readonly backendServerClass: BackendServerClass;
+
+    constructor(private readonly options: AnswerWorldOptions) {
+        this.backendServerClass = {
+            name: "class",
+            acceleratorKind: "kind",
+            acceleratorCount: 8,
+            memoryBytes: 1e12,
+            layerTokensPerSecond: options.layerTokensPerSecond,
+            honoursFencing: true,
+            checksOrders: false,
+        };
+        const weightStore = new WeightStore(1e9);
+        for (let zone = 0; zone < options.availabilityZones; zone++) {
+            for (let index = 0; index < options.serversForEachHalf; index++) {
+                this.addEngine(`z${zone}-head-${index}`, zone, 0, layerTotal / 2 - 1, weightStore);
+                this.addEngine(`z${zone}-tail-${index}`, zone, layerTotal / 2, layerTotal - 1, weightStore);
+            }
+        }
+        this.service = this.createService();
+    }
+
+    /** The stages' engines of a request's attempts so far, those of the last attempt first in the result. */
+    enginesOf(requestId: string): StandInEngine[] {
+        const attempts = [...this.engines.values()]
+            .flatMap(engine => engine.record.attempts)
+            .filter(attempt => attempt.request.requestId === requestId)
+            .sort((left, right) => right.at - left.at);
+        return (attempts[0]?.request.stages ?? []).map(stage => this.engines.get(stage.backendServer)!);
+    }
+
+    caller(requestId: string, promptCharacters: number, tokens: number, timeoutMilliseconds = 60_000): WorldCaller {
+        const content = `tokens=${tokens} ${requestId} `.padEnd(promptCharacters, `${requestId} load of paper, `);
+        const caller = new WorldCaller(requestId, [{ role: "user", content }], model.maximumTokens);
+        caller.start(this.service, this.configuration, timeoutMilliseconds);
+        return caller;
+    }
+
+    /** Layer tokens computed for a request beyond those that one undisturbed attempt needs, in whole tokens. */
+    recomputedTokens(caller: WorldCaller): number {
+        let layerTokens = 0;
+        for (const engine of this.engines.values()) {
+            for (const run of engine.record.runs) {
+                layerTokens += run.requestId === caller.requestId ? run.tokens * layerCount(run.layers) : 0;
+            }
+        }
+        const needed = estimatePromptTokens(caller.messages) + Math.max(0, caller.count - 1);
+        return Math.max(0, layerTokens / layerTotal - needed);
+    }
+
+    stop(): void {
+        this.engines.forEach(engine => engine.stop());
+        this.links.forEach(link => link.close());
+    }
+
+    private addEngine(id: string, zone: number, first: number, last: number, weightStore: WeightStore): void {
+        const location = { region: "region", availabilityZone: `z${zone}` };
+        const address = `http://${id}`;
+        const holdings = [{ model: model.name, modelVersion: model.version, layers: { first, last }, adapters: [] }];
+        const engine = new StandInEngine(
+            { id, address, location, class: this.backendServerClass, holdings },
+            { network: this.network, weightStore, random: new SeededRandom(this.options.seed + this.engines.size) },
+        );
+        const link = new InProcessBackendServerConnection(engine, { latencyMilliseconds: linkLatencyMilliseconds });
+        const record = new BackendServerRecord({
+            id,
+            address,
+            ...location,
+            class: this.backendServerClass,
+            incarnation: 1,
+        });
+        record.holdings = holdings;
+        link.events.subscribe({
+            next: event => {
+                if (event.type === "load") {
+                    record.setLoad(event.load, monotonicNow());
+                }
+                else if (event.type === "draining") {
+                    record.markLeaving();
+                }
+            },
+            error: () => undefined,
+            complete: () => undefined,
+        });
+        this.network.add(engine);
+        engine.start();
+        this.engines.set(id, engine);
+        this.links.set(id, link);
+        this.records.set(id, record);
+    }
+
+    private createService(): PipelineAnswerService {
+        const { records, options } = this;
+        const servers = {
+            revision: 1,
+            totalLayerTokensPerSecond: records.size * options.layerTokensPerSecond,
+            candidates: () => [...records.values()],
+            get: (id: string) => records.get(id),
+            prefixes: new PrefixIndex(),
+        };
+        const logger = new SilentLogger();
+        const metrics = new SilentMetrics();
+        const random = new SeededRandom(options.seed);
+        const poolOf = (id: string) => [...records.keys()].filter(other => other.split("-")[1] === id.split("-")[1]);
+        return new PipelineAnswerService({
+            chooser: new CostPipelineChooser({
+                location: { region: "region", availabilityZone: "z0" },
+                graphs: new PipelineGraphs(this.configuration, servers),
+                servers,
+                random,
+                logger,
+            }),
+            connections: { get: id => this.links.get(id)! },
+            ledger: new ExactInFlightLedger(id => records.get(id)),
+            health: new OutlierEjection({ poolOf }, id => void records.get(id)?.markLeaving(), logger, metrics),
+            retryBudgets: new TokenRetryBudgets(),
+            recovery: options.recovery,
+            capacity: options.capacity,
+            random,
+            logger,
+            metrics,
+        });
+    }
+}
