--- a/src/errors/placement-errors.ts
+++ b/src/errors/placement-errors.ts
@@ -26,3 +26,29 @@
         super(orderTimeoutDefinition, `${backendServer} did not answer an order in ${milliseconds} ms.`);
     }
 }
+
+const placementUnknownDefinition = defineError({
+    code: "placement-unknown",
+    title: "No router holds the placement lease, or it has not planned yet",
+    hint: "Try again in a few seconds. While the platform is down, nothing is ordered and routing goes on.",
+});
+
+/** No router could say what the placement is. */
+export class PlacementUnknownError extends PomelostallError {
+    constructor(router: string) {
+        super(placementUnknownDefinition, `${router} knows of no placement.`);
+    }
+}
+
+const unknownPlacementSubjectDefinition = defineError({
+    code: "unknown-placement-subject",
+    title: "The placement names no such model or backend server",
+    hint: "'pomelostall placement show' lists the names.",
+});
+
+/** A name that is neither a model nor a backend server of the placement. */
+export class UnknownPlacementSubjectError extends PomelostallError {
+    constructor(name: string) {
+        super(unknownPlacementSubjectDefinition, `${name} is neither a model nor a backend server of the placement.`);
+    }
+}
