--- a/src/process/placement/constants.ts
+++ b/src/process/placement/constants.ts
@@ -14,7 +14,7 @@
 export const minimumPipelinesForRoles = 4;
 
 /** Time after which planning lets other work run. */
-export const planningSliceMilliseconds = 2;
+export const planningSliceMilliseconds = 1;
 
 export const leaseTimeToLiveMilliseconds = 10_000;
 /** The holder stops ordering this long before its lease may lapse. */
--- a/src/process/placement/placement-draft.ts
+++ b/src/process/placement/placement-draft.ts
@@ -1,5 +1,5 @@
 /** Builds one placement, either around what is loaded or afresh, as ranges of each model in each place. */
-import { containsRange, layerCount, layerRangesEqual } from "../../domain/layers.js";
+import { containsRange, layerCount } from "../../domain/layers.js";
 import type { ModelDescription } from "../../domain/model.js";
 import { fillGap, layersThatFit, layoutServers } from "./layer-layout.js";
 import { coversAllLayers, findChains } from "./pipeline-chains.js";
@@ -27,7 +27,7 @@
     const wide = yield* drawWideBuckets(shares, members);
     yield;
     const used = new Set(wide.flatMap(bucket => bucket.ranges.map(range => range.member)));
-    const zones = groupByZone(members.filter(member => !used.has(member)));
+    const zones = yield* groupByZone(used.size === 0 ? members : members.filter(member => !used.has(member)));
     yield;
     const placed: PlacedBucket[] = [...wide];
     for (const bucket of yield* allocateZones(zones, shares, keptRange)) {
@@ -65,7 +65,7 @@
                 share,
                 target: Math.max(target / 2, target + (owed.get(share.model.name) ?? 0)),
             }));
-        for (const bucket of new ServerAllocation(zone.zone, zone.members, wanted).allocate(keptRange)) {
+        for (const bucket of yield* new ServerAllocation(zone.zone, zone.members, wanted).allocate(keptRange)) {
             // What whole servers could not give here is made up for in the next zone.
             owed.set(bucket.share.model.name, bucket.target - bucketCapacity(bucket));
             buckets.push(bucket);
@@ -94,6 +94,7 @@
 }
 
 function* layoutBucket(bucket: Bucket): Generator<void, PlacedRange[]> {
+    yield;
     const { model } = bucket.share;
     const name = `${bucket.zone}/${model.name}`;
     const { chains, rest } = findChains(bucket.kept, model.layerTotal);
@@ -106,6 +107,7 @@
     const isWhole = coversAllLayers(bucket.kept.map(item => item.layers), model.layerTotal);
     if (bucket.kept.length === 0 || fitting >= model.layerTotal && isWhole) {
         const laid = yield* layoutServers(bucket.added, model, name);
+        yield;
         return [...placed, ...matchHoldings(laid, model)];
     }
     const present = bucket.kept.map(({ member, layers }) => ({ layers, capacity: member.capacity }));
@@ -133,26 +135,33 @@
 }
 
 function matchClass(group: readonly PlacedRange[], model: ModelDescription): PlacedRange[] {
-    const free = new Set(group.map(range => range.member));
-    const open: PlacedRange[] = [];
-    const matched: PlacedRange[] = [];
-    for (const range of group) {
-        const holder = [...free].find(member => holdsRange(member, model, range));
-        if (holder === undefined) {
-            open.push(range);
-        }
-        else {
-            free.delete(holder);
-            matched.push({ ...range, member: holder });
+    const holders = group.map(range => range.member).filter(member => holdsVersion(member, model));
+    const free = new Set(holders);
+    const matched = new Map<PlacedRange, LayoutServer>();
+    for (const range of holders.length === 0 ? [] : group) {
+        for (const member of free) {
+            if (holdsRange(member, model, range)) {
+                matched.set(range, member);
+                free.delete(member);
+                break;
+            }
         }
     }
-    const rest = [...free];
-    return [...matched, ...open.map((range, index) => ({ ...range, member: rest[index]! }))];
+    const taken = new Set(matched.values());
+    const rest = group.map(range => range.member).filter(member => !taken.has(member));
+    let next = 0;
+    return group.map(range => ({ ...range, member: matched.get(range) ?? rest[next++]! }));
+}
+
+function holdsVersion(member: LayoutServer, model: ModelDescription): boolean {
+    return member.server.holdings.some(holding =>
+        holding.model === model.name && holding.modelVersion === model.version
+    );
 }
 
 function holdsRange(member: LayoutServer, model: ModelDescription, range: PlacedRange): boolean {
     return member.server.holdings.some(holding =>
         holding.model === model.name && holding.modelVersion === model.version
-        && (layerRangesEqual(holding.layers, range.layers) || containsRange(holding.layers, range.layers))
+        && containsRange(holding.layers, range.layers)
     );
 }
--- a/src/process/placement/placement-planner.ts
+++ b/src/process/placement/placement-planner.ts
@@ -69,14 +69,18 @@
 /** Live servers with their compute, in a fixed order. Yields between availability zones. */
 function* layoutMembers(input: PlacementInput): Generator<void, LayoutServer[]> {
     const members: LayoutServer[] = [];
-    for (const server of input.servers) {
+    for (const [index, server] of input.servers.entries()) {
+        if (index % serversPerStep === 0) {
+            yield;
+        }
         if (!server.draining) {
-            members.push({ server, capacity: server.description.class.layerTokensPerSecond });
+            const { region, availabilityZone, class: serverClass } = server.description;
+            const zone = `${region}/${availabilityZone}`;
+            members.push({ server, capacity: serverClass.layerTokensPerSecond, zone });
         }
     }
-    yield;
     const sorted: LayoutServer[] = [];
-    for (const zone of groupByZone(members)) {
+    for (const zone of yield* groupByZone(members)) {
         yield;
         zone.members.sort((left, right) => compareNames(left.server.description.id, right.server.description.id));
         sorted.push(...zone.members);
--- a/src/process/placement/server-allocation.ts
+++ b/src/process/placement/server-allocation.ts
@@ -28,7 +28,8 @@
         this.byModel = new Map(this.buckets.map(bucket => [bucket.share.model.name, bucket]));
     }
 
-    allocate(keptRange: KeptRange): readonly Bucket[] {
+    /** Yields between its stages. */
+    *allocate(keptRange: KeptRange): Generator<void, readonly Bucket[]> {
         for (const member of this.members) {
             const kept = keptRange(member);
             const bucket = kept === undefined ? undefined : this.byModel.get(kept.model);
@@ -39,8 +40,13 @@
                 bucket.kept.push({ member, layers: kept.layers });
             }
         }
-        this.buckets.forEach(bucket => this.releaseSurplus(bucket));
+        yield;
+        for (const bucket of this.buckets) {
+            this.releaseSurplus(bucket);
+            yield;
+        }
         this.distributeFree();
+        yield;
         this.buckets.forEach(bucket => this.makeFeasible(bucket));
         return this.buckets;
     }
--- a/src/process/placement/transition.ts
+++ b/src/process/placement/transition.ts
@@ -33,43 +33,25 @@
     readonly id: string;
     readonly memoryBytes: number;
     readonly assignment: Assignment | undefined;
-    readonly draining: boolean;
     holdings: readonly Holding[];
     role: ServingRole;
 }
 
 export class TransitionPlanner {
     private readonly coverage: ModelCoverage;
-    private readonly servers: SimulatedServer[];
     private readonly steps: TransitionStep[] = [];
 
     constructor(
-        present: readonly PlacementServer[],
-        assignments: ReadonlyMap<string, Assignment>,
+        private readonly present: readonly PlacementServer[],
+        private readonly assignments: ReadonlyMap<string, Assignment>,
         private readonly models: ReadonlyMap<string, ModelDescription>,
     ) {
         this.coverage = new ModelCoverage(models);
-        this.servers = present.map(server => ({
-            id: server.description.id,
-            memoryBytes: server.description.class.memoryBytes,
-            assignment: assignments.get(server.description.id),
-            draining: server.draining,
-            holdings: server.holdings,
-            role: server.role,
-        }));
-        this.servers.sort((left, right) =>
-            compareNames(left.assignment?.pipeline ?? "", right.assignment?.pipeline ?? "")
-            || (left.assignment?.layers.first ?? 0) - (right.assignment?.layers.first ?? 0)
-            || compareNames(left.id, right.id)
-        );
-        for (const server of this.servers.filter(other => !other.draining)) {
-            server.holdings.forEach(holding => this.coverage.add(holding, server.role));
-        }
     }
 
     /** Yields after each server. */
     *plan(): Generator<void, Transition> {
-        const active = this.servers.filter(server => !server.draining);
+        const active = yield* this.simulatePresent();
         for (const server of this.wholenessFirst(active)) {
             if (this.needsLoad(server) && this.fitsBeside(server)) {
                 this.load(server);
@@ -77,14 +59,44 @@
             yield;
         }
         const waiting = yield* this.changeOverAll(active.filter(server => this.needsLoad(server)));
-        const left: SimulatedServer[] = [];
+        const unfinished: SimulatedServer[] = [];
         for (const server of active) {
             if (!this.tidy(server)) {
-                left.push(server);
+                unfinished.push(server);
             }
             yield;
         }
-        return { steps: this.steps, blocked: [...new Set([...waiting, ...left].map(server => server.id))] };
+        return { steps: this.steps, blocked: [...new Set([...waiting, ...unfinished].map(server => server.id))] };
+    }
+
+    /** The servers that may be changed, pipeline by pipeline in layer order. */
+    private *simulatePresent(): Generator<void, SimulatedServer[]> {
+        const pipelines = new Map<string, SimulatedServer[]>();
+        for (const server of this.present.filter(other => !other.draining)) {
+            const simulated = this.simulate(server);
+            const name = simulated.assignment?.pipeline ?? "";
+            const pipeline = pipelines.get(name) ?? [];
+            pipeline.push(simulated);
+            pipelines.set(name, pipeline);
+            server.holdings.forEach(holding => this.coverage.add(holding, server.role));
+            yield;
+        }
+        const ordered: SimulatedServer[] = [];
+        for (const name of [...pipelines.keys()].sort(compareNames)) {
+            ordered.push(...pipelines.get(name)!.sort(compareInPipeline));
+            yield;
+        }
+        return ordered;
+    }
+
+    private simulate(server: PlacementServer): SimulatedServer {
+        return {
+            id: server.description.id,
+            memoryBytes: server.description.class.memoryBytes,
+            assignment: this.assignments.get(server.description.id),
+            holdings: server.holdings,
+            role: server.role,
+        };
     }
 
     /** Changes servers over for as long as any can be; gives those that can't. */
@@ -106,10 +118,12 @@
     }
 
     /** Servers for models that have no whole pipeline come first. */
-    private wholenessFirst(servers: readonly SimulatedServer[]): SimulatedServer[] {
+    private wholenessFirst(servers: readonly SimulatedServer[]): readonly SimulatedServer[] {
         const broken = new Set([...this.models.keys()].filter(model => !this.coverage.isWhole(model)));
-        const rank = (server: SimulatedServer) => broken.has(server.assignment?.model ?? "") ? 0 : 1;
-        return [...servers].sort((left, right) => rank(left) - rank(right));
+        const isBroken = (server: SimulatedServer) => broken.has(server.assignment?.model ?? "");
+        return broken.size === 0
+            ? servers
+            : [...servers.filter(isBroken), ...servers.filter(server => !isBroken(server))];
     }
 
     private needsLoad(server: SimulatedServer): boolean {
@@ -257,6 +271,11 @@
     }
 }
 
+function compareInPipeline(left: SimulatedServer, right: SimulatedServer): number {
+    return (left.assignment?.layers.first ?? 0) - (right.assignment?.layers.first ?? 0)
+        || compareNames(left.id, right.id);
+}
+
 /** Plans the orders from present holdings to the assignments, in steps between which other work may run. */
 export function planTransition(
     present: readonly PlacementServer[],
--- a/src/process/placement/types.ts
+++ b/src/process/placement/types.ts
@@ -87,6 +87,8 @@
     readonly server: PlacementServer;
     /** Layers times tokens a second. */
     readonly capacity: number;
+    /** Region and availability zone. */
+    readonly zone: string;
 }
 
 /** Servers of one place, usually an availability zone, that carry one model together. */
--- a/src/process/placement/wide-pipelines.ts
+++ b/src/process/placement/wide-pipelines.ts
@@ -18,13 +18,13 @@
 ): Generator<void, PlacedBucket[]> {
     const fleetCapacity = members.reduce((sum, member) => sum + member.capacity, 0);
     const buckets: PlacedBucket[] = [];
-    const zones = groupByZone(members);
+    const zones = yield* groupByZone(members);
     let free = members;
     for (const share of shares) {
         if (zones.some(zone => fits(zone.members, share))) {
             continue;
         }
-        const place = choosePlace(groupByZone(free), share);
+        const place = choosePlace(yield* groupByZone(free), share);
         const ranges = place === undefined ? [] : drawPipelines(place, share, fleetCapacity * share.share);
         const used = new Set(ranges.map(range => range.member));
         free = free.filter(member => !used.has(member));
@@ -84,12 +84,13 @@
 
 /** Tokens a second that the slowest link between zones of the ranges carries. */
 export function linkLimit(ranges: readonly PlacedRange[], activationBytes: number, topology: Topology): number {
-    const zones = groupByZone(ranges.map(range => range.member));
+    const byZone = new Map(ranges.map(range => [range.member.zone, range.member.server.description]));
+    const zones = [...byZone.values()];
     let limit = Number.POSITIVE_INFINITY;
     for (const from of zones) {
         for (const to of zones) {
             if (from !== to) {
-                const link = topology.link(from.members[0]!.server.description, to.members[0]!.server.description);
+                const link = topology.link(from, to);
                 limit = Math.min(limit, link.bytesPerSecond / activationBytes);
             }
         }
--- a/src/process/placement/zone-targets.ts
+++ b/src/process/placement/zone-targets.ts
@@ -19,15 +19,19 @@
 export type ZoneTargets = ReadonlyMap<string, ReadonlyMap<string, number>>;
 
 const minimumZones = 2;
+/** Servers that are grouped between two points at which other work may run. */
+const membersPerStep = 500;
 
-export function groupByZone(members: readonly LayoutServer[]): ZoneServers[] {
+/** Yields now and then. */
+export function* groupByZone(members: readonly LayoutServer[]): Generator<void, ZoneServers[]> {
     const groups = new Map<string, LayoutServer[]>();
-    for (const member of members) {
-        const { region, availabilityZone } = member.server.description;
-        const key = `${region}/${availabilityZone}`;
-        const group = groups.get(key);
+    for (const [index, member] of members.entries()) {
+        if (index % membersPerStep === 0) {
+            yield;
+        }
+        const group = groups.get(member.zone);
         if (group === undefined) {
-            groups.set(key, [member]);
+            groups.set(member.zone, [member]);
         }
         else {
             group.push(member);
