--- a/bench/support/engine-rig.ts
+++ b/bench/support/engine-rig.ts
@@ -88,6 +88,8 @@
     private readonly sharedNetwork: SharedLinkNetwork;
     private readonly fleets: RigFleet[] = [];
     private readonly entries: VmEntry[] = [];
+    /** Each router's connections. */
+    private readonly connections: Map<string, InProcessBackendServerConnection>[] = [];
     private readonly logger: Logger = new SilentLogger();
     private readonly metrics: Metrics = new SilentMetrics();
 
@@ -158,6 +160,11 @@
         return router;
     }
 
+    /** Leaves every open connection to the engine silent for good. */
+    silence(id: string): void {
+        this.connections.forEach(connections => connections.get(id)?.freeze());
+    }
+
     /** Stops the routers and engines; timers that are left do nothing more. */
     async stop(): Promise<void> {
         await Promise.all(this.routers.map(router => router.registry.stop()));
@@ -167,7 +174,8 @@
     }
 
     private connectionsFrom(location: Location) {
-        const made = new Map<string, BackendServerConnection>();
+        const made = new Map<string, InProcessBackendServerConnection>();
+        this.connections.push(made);
         return {
             get: (id: string): BackendServerConnection => {
                 let connection = made.get(id);
