Cross availability zones as seldom as the throughput bound allows

Cause: a split among equal optima could cross zones for nothing, so that a zone's loss broke pipelines elsewhere. Change: a tiny price on each crossing in the bound's objective; path splitting stays in its zone first. Expected times tell the latest, over all work that waits, so that a slow stage is not taken for a failed one.

--- a/bench/support/engine-rig.ts
+++ b/bench/support/engine-rig.ts
@@ -1,16 +1,20 @@
 /** Stand-in engines and routers in one process, on the paused clock. */
+import type { Stream } from "most";
 import type { Logger } from "../../src/common/logger.js";
 import { SilentLogger } from "../../src/common/logger.js";
 import { type Metrics, SilentMetrics } from "../../src/common/metrics.js";
 import { SeededRandom } from "../../src/common/random.js";
+import { createStream } from "../../src/common/streams.js";
 import type { BackendServerConnection } from "../../src/domain/backend-connection.js";
 import type { BackendServerClass } from "../../src/domain/backend-server.js";
 import type { Configuration } from "../../src/domain/configuration.js";
+import type { BackendServerEvent } from "../../src/domain/engine-protocol.js";
 import type { BackendServerNotice, Fleet, RouterMember } from "../../src/domain/fleet.js";
 import type { LayerRange } from "../../src/domain/layers.js";
 import type { ModelDescription } from "../../src/domain/model.js";
 import type { VmEntry } from "../../src/domain/platform.js";
 import type { Location, Topology } from "../../src/domain/topology.js";
+import { ConnectionFailedError, ConnectionFailure } from "../../src/errors/index.js";
 import { BackendServerRegistry } from "../../src/process/backend-servers/backend-server-registry.js";
 import { ExactInFlightLedger } from "../../src/process/backend-servers/exact-in-flight-ledger.js";
 import { CostPipelineChooser } from "../../src/request/pipeline-choice/cost-pipeline-chooser.js";
@@ -69,6 +73,23 @@
     }
 }
 
+/** The link to an engine; one that died gives no events, as a refused connection would. */
+class RigConnection extends InProcessBackendServerConnection {
+    constructor(private readonly rigEngine: StandInEngine, latencyMilliseconds: number) {
+        super(rigEngine, { latencyMilliseconds });
+    }
+
+    override get events(): Stream<BackendServerEvent> {
+        const refused = new ConnectionFailedError(this.backendServer, ConnectionFailure.refused, false);
+        return this.rigEngine.alive
+            ? super.events
+            : createStream<BackendServerEvent>(emitter => {
+                const timer = setTimeout(() => emitter.fail(refused), 0);
+                return () => clearTimeout(timer);
+            });
+    }
+}
+
 /** A router's parts up to the choice of a pipeline. */
 export interface RigRouter {
     readonly id: string;
@@ -182,7 +203,7 @@
                 if (connection === undefined) {
                     const engine = this.engines.get(id)!;
                     const latencyMilliseconds = this.routerLatencyMilliseconds(location, engine.location);
-                    connection = new InProcessBackendServerConnection(engine, { latencyMilliseconds });
+                    connection = new RigConnection(engine, latencyMilliseconds);
                     made.set(id, connection);
                 }
                 return connection;
--- a/bench/zone-loss.bench.ts
+++ b/bench/zone-loss.bench.ts
@@ -135,7 +135,15 @@
             chooser,
             connections: this.connections,
             ledger: router.ledger,
-            health: ejection,
+            health: {
+                ejected: () => ejection.ejected(),
+                succeeded: id => ejection.succeeded(id),
+                failed: (id, reason) => {
+                    ejection.failed(id, reason);
+                    router.registry.reportUnreachable(id);
+                },
+                draining: id => ejection.draining(id),
+            },
             retryBudgets: new TokenRetryBudgets(),
             capacity: tokenLimit,
             random: router.random,
--- a/src/request/pipeline-choice/chosen-pipeline.ts
+++ b/src/request/pipeline-choice/chosen-pipeline.ts
@@ -39,9 +39,9 @@
         const option = options[step.option]!;
         const layers = terms.boundaries[step.endBoundary]! - terms.boundaries[step.firstBoundary]!;
         const isWhole = step.phase === Phase.whole;
-        first += option.entryFirstMilliseconds
+        first += option.latestFirstMilliseconds
             + layers * option.layerFirstMilliseconds(terms, step.phase);
-        token += option.entryTokenMilliseconds + layers * option.layerTokenMilliseconds;
+        token += option.latestTokenMilliseconds + layers * option.layerTokenMilliseconds;
         recomputedTokens = Math.max(recomputedTokens, isWhole ? terms.wholeTokens : terms.cachedTokens);
         if (index > 0) {
             const link = graph.link(locations[index - 1]!, locations[index]!);
--- a/src/request/pipeline-choice/stage-options.ts
+++ b/src/request/pipeline-choice/stage-options.ts
@@ -40,7 +40,7 @@
     constructor(
         terms: SearchTerms,
         readonly candidate: Candidate,
-        load: LoadEstimate,
+        private readonly load: LoadEstimate,
         readonly firstBoundary: number,
         readonly endBoundary: number,
         hasPrefix: boolean,
@@ -68,6 +68,22 @@
         return this.backlogTokenMilliseconds;
     }
 
+    /**
+     * Milliseconds after which the first token would come at the latest if all work here ran before it, for callers that
+     * tell a slow stage from a failed one.
+     */
+    get latestFirstMilliseconds(): number {
+        const { pendingTokens, stepMilliseconds } = this.load;
+        const { server } = this.candidate;
+        const queue = pendingTokens * layerCount(server.layers) * 1000 / server.layerTokensPerSecond;
+        return this.importMilliseconds + queue + stepMilliseconds;
+    }
+
+    /** Milliseconds that other work here may add to one later token, which waits for a whole step. */
+    get latestTokenMilliseconds(): number {
+        return Math.max(this.backlogTokenMilliseconds, this.load.stepMilliseconds);
+    }
+
     /** Milliseconds of the whole request that are spent on the work of others. */
     get waitingMilliseconds(): number {
         return this.tokens * this.backlogTokenMilliseconds;
--- a/src/version/pipeline-graph/flow-paths.ts
+++ b/src/version/pipeline-graph/flow-paths.ts
@@ -99,7 +99,9 @@
             walk.transferIndexes.push(stay);
             return group;
         }
-        for (let to = 0; to < this.flow.locationTotal; to++) {
+        const others = Array.from({ length: this.flow.locationTotal }, (_unused, location) => location)
+            .filter(location => location !== from);
+        for (const to of [from, ...others]) {
             const transfer = this.transferIndex(boundary, from, to);
             const next = this.flow.transfers[transfer]! > this.negligible ? this.largestGroup(boundary, to) : none;
             if (next !== none) {
--- a/src/version/pipeline-graph/throughput-bound.ts
+++ b/src/version/pipeline-graph/throughput-bound.ts
@@ -24,6 +24,12 @@
  */
 const perturbation = 1e-9;
 
+/**
+ * What a token's move to another location costs in the objective, in tokens: among equal splits it finds the one that
+ * crosses least, so that the loss of a location breaks the fewest pipelines.
+ */
+const crossingPenalty = 1e-5;
+
 interface ComputeVariable {
     readonly group: number;
     readonly segment: number;
@@ -68,7 +74,7 @@
         }
         const objective = [
             ...this.computes.map(variable => variable.segment === this.segmentTotal - 1 ? 1 : 0),
-            ...this.transfers.map(() => 0),
+            ...this.transfers.map(({ from, to }) => from === to ? 0 : -crossingPenalty),
         ];
         return { objective, rows: this.rows, limits: this.limits };
     }
@@ -154,8 +160,10 @@
     const slack = perturbation * linearProgram.rows.length ** 2;
     const groupLayerTokens = input.groups.map(() => 0);
     const flow = emptyFlow(input);
+    let total = 0;
     program.computes.forEach(({ group, segment }, index) => {
         const tokens = solution.variables[index]! * program.unit;
+        total += segment === flow.segmentTotal - 1 ? tokens : 0;
         groupLayerTokens[group]! += tokens * program.segmentLayers(segment);
         flow.computes[group * flow.segmentTotal + segment] = tokens;
     });
@@ -167,7 +175,7 @@
             linkBytes[from * input.locationTotal + to]! += tokens * input.activationBytes;
         }
     });
-    const tokensPerSecond = solution.value > slack ? solution.value * program.unit : 0;
+    const tokensPerSecond = total > slack * program.unit ? total : 0;
     return { tokensPerSecond, groupLayerTokens, linkBytes, paths: splitFlow(flow, tokensPerSecond) };
 }
 
