--- a/bench/zone-loss.bench.ts
+++ b/bench/zone-loss.bench.ts
@@ -140,7 +140,9 @@
                 succeeded: id => ejection.succeeded(id),
                 failed: (id, reason) => {
                     ejection.failed(id, reason);
-                    router.registry.reportUnreachable(id);
+                    if (reason !== "stalled") {
+                        router.registry.reportUnreachable(id);
+                    }
                 },
                 draining: id => ejection.draining(id),
             },
--- a/src/request/pipeline-choice/stage-options.ts
+++ b/src/request/pipeline-choice/stage-options.ts
@@ -1,4 +1,5 @@
 /** The options of a search: each usable server as it is, and with KV cache that spares it the prefix. */
+import { monotonicNow } from "../../common/clock.js";
 import { layerCount, type LayerRange } from "../../domain/layers.js";
 import type { CacheSource } from "../../domain/pipeline-plan.js";
 import { transferMilliseconds } from "../../domain/topology.js";
@@ -152,7 +153,7 @@
         return stage.usable ? { layers, cache: { kind: "kept", attemptId }, importMilliseconds: 0 } : undefined;
     }
     const source = terms.index.find(stage.backendServer);
-    if (source === undefined) {
+    if (source === undefined || source.isUnreachable(monotonicNow())) {
         return undefined;
     }
     const { model, promptTokens, generatedTokens } = terms.request;
--- a/test/request/pipeline-choice/cost-pipeline-chooser.test.ts
+++ b/test/request/pipeline-choice/cost-pipeline-chooser.test.ts
@@ -200,6 +200,24 @@
         expect(near.recomputedTokens).toBeLessThan(2_050);
     });
 
+    test("does not move KV cache from a server that is unreachable", () => {
+        const gone = record("gone", "a", [0, 3]);
+        gone.markUnreachable();
+        const choice = costChooser(new RecordSource([gone, last, ...spares]), described, topology).choose(
+            pipelineRequest(described, {
+                promptTokens: 2_000,
+                surviving: [{
+                    backendServer: "gone",
+                    layers: { first: 0, last: 3 },
+                    attemptId: "attempt",
+                    usable: false,
+                }],
+                excluded: new Set(["gone"]),
+            }),
+        );
+        expect(choice.plan.stages.map(stage => stage.cache)).toEqual([undefined, undefined]);
+    });
+
     test("computes the prefix again where the way to the KV cache is too slow", () => {
         const far = record("spare-far", "b", [0, 7], 100_000);
         const source = new RecordSource([first, far]);
@@ -213,6 +231,37 @@
     });
 });
 
+describe("saturated servers", () => {
+    const described = model(8);
+    const fast = record("fast", "a", [0, 7], 30_000);
+    const slow = record("slow", "b", [0, 7], 10_000);
+    const source = new RecordSource([fast, slow]);
+    const slowShare = (excluded: readonly string[] = []) => {
+        const chooser = costChooser(source, described, topology);
+        const request = pipelineRequest(described, { excluded: new Set(excluded) });
+        const total = 400;
+        const choices = Array.from({ length: total }, () => chooser.choose(request));
+        return choices.filter(choice => choice.plan.uses("slow")).length / total;
+    };
+
+    test("are used in the proportions of the throughput bound, whichever is nearer or faster", () => {
+        [fast, slow].forEach(made => setLoad(made, 500, 100));
+        expect(slowShare()).toBeGreaterThan(0.2);
+        expect(slowShare()).toBeLessThan(0.3);
+    });
+
+    test("are left out when a request excludes them", () => {
+        [fast, slow].forEach(made => setLoad(made, 500, 100));
+        expect(slowShare(["fast"])).toBe(1);
+        expect(slowShare(["slow"])).toBe(0);
+    });
+
+    test("are chosen by expected completion again when there is little to do", () => {
+        [fast, slow].forEach(made => setLoad(made, 0, 0));
+        expect(slowShare()).toBe(0);
+    });
+});
+
 describe("many routers on the same late reports", () => {
     const serverTotal = 24;
     const routerTotal = 360;
