--- a/src/daemon/router.ts
+++ b/src/daemon/router.ts
@@ -59,8 +59,10 @@
         });
         this.lifeCycle = new LifeCycle(logger);
         this.drain = new DrainController(settings.drain, logger.withLabel("drain"));
-        const keyValueService = new HttpKeyValueService(new HttpPlatformClient(settings.platform.keyValueAddresses));
-        const vmList = new HttpVmList(new HttpPlatformClient(settings.platform.vmListAddresses));
+        const keyValueClient = new HttpPlatformClient(settings.platform.keyValueAddresses);
+        const vmListClient = new HttpPlatformClient(settings.platform.vmListAddresses);
+        const keyValueService = new HttpKeyValueService(keyValueClient);
+        const vmList = new HttpVmList(vmListClient);
         const fleet = new SoloFleet(selfMember(settings));
         const configurations = new ConfigurationStore({
             initial: createEmptyConfiguration(),
@@ -176,6 +178,11 @@
             requestTimeoutMilliseconds: operatorRequestTimeoutMilliseconds,
             maximumConnections: operatorConnections,
         }, operatorHandler.listener);
+        this.lifeCycle.add({
+            name: "platform clients",
+            start: async () => undefined,
+            stop: async () => void await Promise.all([keyValueClient.close(), vmListClient.close()]),
+        });
         this.lifeCycle.add(configurations);
         this.lifeCycle.add({
             name: "backend server connections",
--- a/src/stand-ins/fleet/stand-in-fleet.ts
+++ b/src/stand-ins/fleet/stand-in-fleet.ts
@@ -38,6 +38,7 @@
     readonly backendServers: FleetBackendServer[] = [];
     readonly services = new Map<string, StandInService>();
     private readonly routers: VmEntry[] = [];
+    private readonly network = new HttpStageNetwork();
 
     constructor(private readonly options: StandInFleetOptions) {}
 
@@ -51,6 +52,7 @@
     async stop(): Promise<void> {
         this.backendServers.forEach(each => each.server.stop());
         this.services.forEach(service => service.stop());
+        await this.network.close();
         await this.platformServer.stop();
     }
 
@@ -89,7 +91,6 @@
         const { configuration, locations } = this.options;
         const weightStore = new WeightStore(configuration.weightStore.bytesPerSecond);
         const random = new SeededRandom(this.options.seed);
-        const network = new HttpStageNetwork();
         for (const location of locations) {
             for (const model of configuration.models.values()) {
                 for (const part of splitModel(model, [...configuration.backendServerClasses.values()])) {
@@ -106,7 +107,7 @@
                         layerBytes: model.layerBytes,
                         activationBytes: model.activationBytes,
                         cacheBytesPerTokenLayer: model.cacheBytesPerTokenLayer,
-                    }, { network, weightStore, random });
+                    }, { network: this.network, weightStore, random });
                     await server.start();
                     this.backendServers.push({ server, location, className: part.class.name });
                 }
--- /dev/null
+++ b/test/end-to-end/router-fixture.ts
@@ -0,0 +1,97 @@
+/** A real router on loopback with stand-ins for everything around it. */
+import { randomUUID } from "node:crypto";
+import { readFile } from "node:fs/promises";
+import { SilentLogger } from "../../src/common/logger.js";
+import { SilentMetrics } from "../../src/common/metrics.js";
+import { Router } from "../../src/daemon/router.js";
+import { PushService } from "../../src/process/configuration/index.js";
+import { parseSettings } from "../../src/process/settings/parse-settings.js";
+import { StandInFleet } from "../../src/stand-ins/fleet/stand-in-fleet.js";
+import { buildConfiguration, diffSheets, parseSheet } from "../../src/version/sheet/index.js";
+
+const engineSpeedFactor = 20;
+const seed = 7;
+export const customerKey = "demo-kewdale-weighbridge";
+export const routeName = "grade-report";
+const locations = ["kewdale", "malaga", "bibra-lake"].map(availabilityZone => ({ region: "perth", availabilityZone }));
+
+export class RouterFixture {
+    private constructor(readonly fleet: StandInFleet, readonly router: Router, private readonly sheet: string) {}
+
+    /** Starts the stand-ins and a router, and waits until the sheet is in force and the backend servers are known. */
+    static async start(): Promise<RouterFixture> {
+        const sheet = await readFile("examples/haddow.csv", "utf8");
+        const record = { version: 0, pushId: "", parent: 0, author: "", acceptedAt: "" };
+        const fleet = new StandInFleet({
+            configuration: buildConfiguration(record, sheet),
+            locations,
+            seed,
+            speedFactor: engineSpeedFactor,
+        });
+        await fleet.start();
+        await pushSheet(fleet, sheet);
+        const router = new Router({
+            settings: fixtureSettings(fleet.platformServer.address),
+            logger: new SilentLogger(),
+            metrics: new SilentMetrics(),
+        });
+        await router.start();
+        const fixture = new RouterFixture(fleet, router, sheet);
+        await fixture.untilServing();
+        return fixture;
+    }
+
+    async stop(): Promise<void> {
+        await this.router.stop();
+        await this.fleet.stop();
+    }
+
+    /** Pushes the sheet with a change. */
+    pushChanged(change: (sheet: string) => string): Promise<number> {
+        return pushSheet(this.fleet, change(this.sheet));
+    }
+
+    chat(fields: Record<string, unknown> = {}, headers: Record<string, string> = {}): Promise<Response> {
+        return fetch(`${this.router.callersAddress}/v1/chat/completions`, {
+            method: "POST",
+            headers: { authorization: `Bearer ${customerKey}`, ...headers },
+            body: JSON.stringify({
+                model: routeName,
+                max_tokens: 20,
+                messages: [{ role: "user", content: "Grade the load from truck 17." }],
+                ...fields,
+            }),
+        });
+    }
+
+    private async untilServing(): Promise<void> {
+        while ((await this.chat({ max_tokens: 1 })).status !== 200) {
+            await new Promise(resolve => setTimeout(resolve, 50));
+        }
+    }
+}
+
+async function pushSheet(fleet: StandInFleet, sheet: string): Promise<number> {
+    const service = new PushService({
+        keyValueService: fleet.platform,
+        check: text => void parseSheet(text),
+        compare: diffSheets,
+        createPushId: randomUUID,
+        wallClock: () => new Date(),
+    });
+    return (await service.push({ sheet, author: "test" })).version;
+}
+
+function fixtureSettings(platformAddress: string) {
+    return parseSettings(
+        JSON.stringify({
+            router: { id: "router-1", ...locations[0] },
+            callers: { port: 0 },
+            operators: { port: 0 },
+            peers: { port: 0 },
+            platform: { keyValueAddresses: [platformAddress], vmListAddresses: [platformAddress] },
+            drain: { balancerDelayMilliseconds: 0 },
+        }),
+        "fixture settings",
+    );
+}
