Wire membership and placement into the router

Routers find each other through seeds and the platform's list, spread versions and notices, and one of them holds the placement lease.

--- a/bench/path/router-process.ts
+++ b/bench/path/router-process.ts
@@ -40,7 +40,7 @@
     }),
     "bench settings",
 );
-const router = new Router({
+const router = await Router.create({
     settings,
     logger: new SilentLogger(),
     metrics: new SilentMetrics(),
--- a/src/cli/commands/demo.ts
+++ b/src/cli/commands/demo.ts
@@ -35,13 +35,13 @@
     }));
     const fleet = new StandInFleet({ configuration: buildConfiguration(record, sheet), locations, seed: fleetSeed });
     await fleet.start();
-    const router = new Router({
+    const version = await pushSheet(fleet.platform, sheet);
+    const router = await Router.create({
         settings: demoSettings(fleet.platformServer.address, port),
         logger: createLogger(LogFormat.pretty, "info", "router"),
         metrics: new SilentMetrics(),
     });
     await router.start();
-    const version = await pushSheet(fleet.platform, sheet);
     context.output.write(`the sample sheet is version ${version}
 ${instructions(router)}`);
     await Promise.race([once(process, "SIGINT"), once(process, "SIGTERM"), router.stopped]);
--- a/src/cli/run.ts
+++ b/src/cli/run.ts
@@ -4,6 +4,7 @@
 import { createDemoCommand } from "./commands/demo.js";
 import { createDrainCommand } from "./commands/drain.js";
 import { createExplainCommand } from "./commands/explain.js";
+import { createPlacementCommand } from "./commands/placement.js";
 import { createRouterCommand } from "./commands/router.js";
 import { createSettingsCommand } from "./commands/settings.js";
 import { createSheetCommand } from "./commands/sheet.js";
@@ -13,6 +14,7 @@
 
 const commandFactories: readonly ((context: CommandContext) => Command)[] = [
     createDemoCommand,
+    createPlacementCommand,
     createRouterCommand,
     createSheetCommand,
     createSettingsCommand,
--- a/src/daemon/operator-endpoints.ts
+++ b/src/daemon/operator-endpoints.ts
@@ -6,6 +6,7 @@
 import type { DrainController } from "../process/drain/drain-controller.js";
 import type { OperatorEndpoint } from "../process/operator/operator-handler.js";
 import type { BackendServerStatus, Explanation, RouterStatus } from "../process/operator/status.js";
+import type { PlacementStatus } from "../process/placement/placement-status.js";
 import type { PipelineChooser } from "../request/pipeline-choice/types.js";
 
 export interface OperatorEndpointParts {
@@ -16,6 +17,7 @@
     readonly callersAddress: () => string;
     readonly platformReachable: () => boolean;
     readonly backendServers: () => readonly BackendServerStatus[];
+    readonly placement: () => Promise<PlacementStatus>;
     /** Called once the drain was asked for; the process ends after it. */
     readonly requestStop: () => void;
 }
@@ -29,6 +31,7 @@
         { method: "GET", path: "/operator/status", handle: async () => readStatus(parts) },
         { method: "POST", path: "/operator/drain", handle: async () => startDrain(parts) },
         { method: "GET", path: "/operator/explain", handle: async call => explain(parts, call.query) },
+        { method: "GET", path: "/operator/placement", handle: () => parts.placement() },
     ];
 }
 
--- /dev/null
+++ b/src/daemon/placement.ts
@@ -0,0 +1,128 @@
+/** The parts that place layers on backend servers while this router holds the lease. */
+import { randomUUID } from "node:crypto";
+import type { Managed } from "../common/life-cycle.js";
+import type { Logger } from "../common/logger.js";
+import type { Metrics } from "../common/metrics.js";
+import type { RandomSource } from "../common/random.js";
+import type { BackendServerConnections } from "../domain/backend-connection.js";
+import type { BackendServerDescription } from "../domain/backend-server.js";
+import type { Configuration, ConfigurationSource, Customer, Route } from "../domain/configuration.js";
+import type { Fleet } from "../domain/fleet.js";
+import type { KeyValueService } from "../domain/platform.js";
+import type { BackendServerRegistry } from "../process/backend-servers/backend-server-registry.js";
+import { BackendServerState } from "../process/backend-servers/types.js";
+import { type PlacementFleet, PlacementHolder } from "../process/placement/placement-holder.js";
+import { PlacementLease } from "../process/placement/placement-lease.js";
+import type { PlacementDemand } from "../process/placement/types.js";
+
+const observeMilliseconds = 1_000;
+/** Demand that a customer without requests is planned for, so that every model keeps a pipeline. */
+const leastTokensPerSecond = 1;
+
+/** What placement needs to know of the registry and of the demand over all routers. */
+class RegistryPlacementFleet implements PlacementFleet, Managed {
+    readonly name = "placement observer";
+    private readonly listeners = new Set<() => void>();
+    private timer: ReturnType<typeof setInterval> | undefined;
+    private signature = "";
+
+    constructor(
+        private readonly registry: BackendServerRegistry,
+        private readonly fleet: Fleet,
+        private readonly configurations: ConfigurationSource,
+    ) {}
+
+    async start(): Promise<void> {
+        this.signature = this.currentSignature();
+        this.timer = setInterval(() => this.observe(), observeMilliseconds);
+    }
+
+    async stop(): Promise<void> {
+        clearInterval(this.timer);
+    }
+
+    backendServers(): readonly BackendServerDescription[] {
+        return this.registry.list()
+            .filter(record => this.registry.state(record.id) !== BackendServerState.unreachable)
+            .map(record => record.description);
+    }
+
+    isLeaving(backendServer: string): boolean {
+        return this.registry.state(backendServer) === BackendServerState.leaving;
+    }
+
+    demand(): readonly PlacementDemand[] {
+        const configuration = this.configurations.current;
+        return [...configuration.customers.values()].flatMap(customer => this.demandOf(configuration, customer));
+    }
+
+    onChange(listener: () => void): () => void {
+        this.listeners.add(listener);
+        return () => this.listeners.delete(listener);
+    }
+
+    /** A customer's demand, spread evenly over the routes that it may use. */
+    private demandOf(configuration: Configuration, customer: Customer): PlacementDemand[] {
+        const routes = [...configuration.routes.values()].filter(route => mayUse(route, customer));
+        const tokensPerSecond = Math.max(leastTokensPerSecond, this.fleet.fleetDemand(customer.name)) / routes.length;
+        return routes.map(({ model, adapter }) => ({ model, adapter, customer: customer.name, tokensPerSecond }));
+    }
+
+    private observe(): void {
+        const signature = this.currentSignature();
+        if (signature !== this.signature) {
+            this.signature = signature;
+            this.listeners.forEach(listener => listener());
+        }
+    }
+
+    private currentSignature(): string {
+        return this.registry.list()
+            .map(({ id, description }) => `${id}/${description.incarnation}/${this.registry.state(id) ?? ""}`)
+            .sort()
+            .join(" ");
+    }
+}
+
+function mayUse(route: Route, customer: Customer): boolean {
+    return route.customers.length === 0 || route.customers.includes(customer.name);
+}
+
+export interface PlacementPartsOptions {
+    readonly keyValueService: KeyValueService;
+    readonly fleet: Fleet;
+    readonly registry: BackendServerRegistry;
+    readonly configurations: ConfigurationSource;
+    readonly connections: BackendServerConnections;
+    readonly random: RandomSource;
+    readonly logger: Logger;
+    readonly metrics: Metrics;
+}
+
+export class PlacementParts {
+    readonly holder: PlacementHolder;
+    readonly observer: Managed;
+
+    constructor(options: PlacementPartsOptions) {
+        const { fleet, configurations, connections, random, metrics } = options;
+        const logger = options.logger.withLabel("placement");
+        const observer = new RegistryPlacementFleet(options.registry, fleet, configurations);
+        // The process, not the router's name, holds the lease: one that starts again under its name is another holder.
+        const lease = new PlacementLease(
+            options.keyValueService,
+            { router: `${fleet.self.id}/${randomUUID()}`, address: fleet.self.address },
+            logger,
+            metrics,
+        );
+        this.observer = observer;
+        this.holder = new PlacementHolder({
+            lease,
+            fleet: observer,
+            configuration: configurations,
+            connections,
+            random,
+            logger,
+            metrics,
+        });
+    }
+}
--- a/src/daemon/router.ts
+++ b/src/daemon/router.ts
@@ -2,14 +2,15 @@
 import { LifeCycle } from "../common/life-cycle.js";
 import type { Logger } from "../common/logger.js";
 import type { Metrics } from "../common/metrics.js";
-import { SystemRandom } from "../common/random.js";
+import { type RandomSource, SystemRandom } from "../common/random.js";
 import type { ConfigurationSource } from "../domain/configuration.js";
-import { type RouterMember, RouterState } from "../domain/fleet.js";
+import type { VmList } from "../domain/platform.js";
 import { ConfigurationStore, isPlatformWatcher } from "../process/configuration/index.js";
 import { CustomerLimits } from "../process/customer-limits/customer-limits.js";
 import { DrainController } from "../process/drain/drain-controller.js";
 import { HttpListener } from "../process/http/http-listener.js";
 import { OperatorHandler } from "../process/operator/operator-handler.js";
+import { buildPlacementStatus } from "../process/placement/placement-status.js";
 import { HttpKeyValueService, HttpPlatformClient, HttpVmList } from "../process/platform/index.js";
 import { TokenRetryBudgets } from "../process/retry-budgets/token-retry-budgets.js";
 import type { RouterSettings } from "../process/settings/schema.js";
@@ -26,12 +27,24 @@
 import { BookingParts } from "./bookings.js";
 import { CurrentPipelineChooser } from "./current-pipeline-chooser.js";
 import { createOperatorEndpoints } from "./operator-endpoints.js";
-import { SoloFleet } from "./solo-fleet.js";
+import { PeerParts } from "./peers.js";
+import { PlacementParts } from "./placement.js";
 
 export interface RouterDependencies {
     readonly settings: RouterSettings;
     readonly logger: Logger;
     readonly metrics: Metrics;
+    /** Credential for orders to backend servers that check it. */
+    readonly orderCredential?: string;
+}
+
+/** What is made before the parts that need the peer address. */
+interface SharedParts {
+    readonly random: RandomSource;
+    readonly keyValueClient: HttpPlatformClient;
+    readonly vmListClient: HttpPlatformClient;
+    readonly vmList: VmList;
+    readonly peers: PeerParts;
 }
 
 const operatorRequestTimeoutMilliseconds = 10_000;
@@ -51,34 +64,31 @@
     private resolveStopped: () => void = () => undefined;
     private stopping: Promise<void> | undefined;
 
-    constructor(dependencies: RouterDependencies) {
-        const { settings, logger, metrics } = dependencies;
-        const random = new SystemRandom();
+    private constructor({ settings, logger, metrics, orderCredential }: RouterDependencies, shared: SharedParts) {
+        const { random, keyValueClient, vmListClient, vmList, peers } = shared;
         this.stopped = new Promise(resolve => {
             this.resolveStopped = resolve;
         });
         this.lifeCycle = new LifeCycle(logger);
         this.drain = new DrainController(settings.drain, logger.withLabel("drain"));
-        const keyValueClient = new HttpPlatformClient(settings.platform.keyValueAddresses);
-        const vmListClient = new HttpPlatformClient(settings.platform.vmListAddresses);
         const keyValueService = new HttpKeyValueService(keyValueClient);
-        const vmList = new HttpVmList(vmListClient);
-        const fleet = new SoloFleet(selfMember(settings));
+        const fleet = peers.membership;
         const configurations = new ConfigurationStore({
             initial: createEmptyConfiguration(),
             parse: buildConfiguration,
             keyValueService,
-            exchange: fleet,
+            exchange: peers.versions,
             watchesPlatform: () => isPlatformWatcher(fleet),
             routerTotal: () => fleet.members().length,
             random,
             logger: logger.withLabel("configuration"),
             metrics,
         });
+        fleet.provideVersions(configurations);
         this.configurations = configurations;
         const backendServers = new BackendServerParts({
             settings,
-            orderCredential: undefined,
+            orderCredential,
             vmList,
             fleet,
             configurations,
@@ -155,6 +165,16 @@
                 + settings.callers.bodyTimeoutMilliseconds,
             maximumConnections: settings.callers.maximumConnections,
         }, handler.listener);
+        const placement = new PlacementParts({
+            keyValueService,
+            fleet,
+            registry: backendServers.registry,
+            configurations,
+            connections: backendServers.connections,
+            random,
+            logger,
+            metrics,
+        });
         const endpoints = createOperatorEndpoints({
             configurations,
             fleet,
@@ -163,6 +183,7 @@
             callersAddress: () => this.callers.address,
             platformReachable: () => true,
             backendServers: () => backendServers.status(),
+            placement: () => buildPlacementStatus(placement.holder),
             requestStop: () => void this.stop(),
         });
         const operatorHandler = new OperatorHandler(
@@ -183,6 +204,7 @@
             start: async () => undefined,
             stop: async () => void await Promise.all([keyValueClient.close(), vmListClient.close()]),
         });
+        peers.addTo(this.lifeCycle);
         this.lifeCycle.add(configurations);
         this.lifeCycle.add({
             name: "backend server connections",
@@ -198,10 +220,25 @@
             start: async () => undefined,
             stop: () => serviceCaller.close(),
         });
+        if (settings.placement.enabled) {
+            this.lifeCycle.add(placement.observer);
+            this.lifeCycle.add(placement.holder);
+        }
         this.lifeCycle.add(this.operators);
         this.lifeCycle.add(this.callers);
     }
 
+    /** Makes a router; its peer interface listens already, everything else waits for start. */
+    static async create(dependencies: RouterDependencies): Promise<Router> {
+        const { settings, logger, metrics } = dependencies;
+        const random = new SystemRandom();
+        const vmListClient = new HttpPlatformClient(settings.platform.vmListAddresses);
+        const vmList = new HttpVmList(vmListClient);
+        const peers = await PeerParts.listen({ settings, vmList, random, logger, metrics });
+        const keyValueClient = new HttpPlatformClient(settings.platform.keyValueAddresses);
+        return new Router(dependencies, { random, keyValueClient, vmListClient, vmList, peers });
+    }
+
     /** Base URL for callers; known after start. */
     get callersAddress(): string {
         return this.callers.address;
@@ -228,15 +265,3 @@
         this.resolveStopped();
     }
 }
-
-function selfMember(settings: RouterSettings): RouterMember {
-    const { id, region, availabilityZone } = settings.router;
-    return {
-        id,
-        address: `http://${settings.peers.host}:${settings.peers.port}`,
-        location: { region, availabilityZone },
-        incarnation: 1,
-        state: RouterState.alive,
-        configurationVersion: 0,
-    };
-}
--- a/src/daemon/run-router.ts
+++ b/src/daemon/run-router.ts
@@ -1,10 +1,24 @@
 /** Runs a router as a process: starts it from its settings and drains it on SIGTERM or SIGINT. */
+import { readFile } from "node:fs/promises";
 import { createLogger } from "../common/logger.js";
 import { type Metrics, SilentMetrics } from "../common/metrics.js";
+import { UnreadableFileError } from "../errors/index.js";
 import { StatsdMetrics } from "../process/metrics/statsd-metrics.js";
 import type { RouterSettings } from "../process/settings/schema.js";
 import { Router } from "./router.js";
 
+async function readCredential(file: string | undefined): Promise<string | undefined> {
+    if (file === undefined) {
+        return undefined;
+    }
+    try {
+        return (await readFile(file, "utf8")).trim();
+    }
+    catch (error) {
+        throw new UnreadableFileError(file, error);
+    }
+}
+
 /** Resolves after the router has drained and stopped. */
 export async function runRouter(settings: RouterSettings): Promise<void> {
     const logger = createLogger(settings.logs.format, settings.logs.level, settings.router.id);
@@ -12,7 +26,12 @@
         ? undefined
         : new StatsdMetrics({ ...settings.metrics, tags: { router: settings.router.id } }, logger);
     const metrics: Metrics = statsd ?? new SilentMetrics();
-    const router = new Router({ settings, logger, metrics });
+    const router = await Router.create({
+        settings,
+        logger,
+        metrics,
+        orderCredential: await readCredential(settings.backendServers.orderCredentialFile),
+    });
     await router.start();
     const stop = () => void router.stop();
     process.on("SIGTERM", stop);
--- a/src/process/settings/schema.ts
+++ b/src/process/settings/schema.ts
@@ -80,6 +80,12 @@
     ),
 }).describe("Graceful shutdown.");
 
+const placement = z.strictObject({
+    enabled: z.boolean().default(true).describe(
+        "Whether this router may hold the placement lease and order backend servers to load layers.",
+    ),
+}).describe("Placement of models on backend servers.");
+
 const logs = z.strictObject({
     format: z.enum(Object.values(LogFormat)).default(LogFormat.json).describe(
         "'json' for production, 'pretty' for a terminal.",
@@ -102,6 +108,7 @@
     peers: peers.prefault({}),
     platform,
     backendServers: backendServers.prefault({}),
+    placement: placement.prefault({}),
     drain: drain.prefault({}),
     logs: logs.prefault({}),
     metrics: metrics.optional(),
--- a/test/end-to-end/router-fixture.ts
+++ b/test/end-to-end/router-fixture.ts
@@ -30,7 +30,7 @@
         });
         await fleet.start();
         await pushSheet(fleet, sheet);
-        const router = new Router({
+        const router = await Router.create({
             settings: fixtureSettings(fleet.platformServer.address),
             logger: new SilentLogger(),
             metrics: new SilentMetrics(),
@@ -90,6 +90,7 @@
             operators: { port: 0 },
             peers: { port: 0 },
             platform: { keyValueAddresses: [platformAddress], vmListAddresses: [platformAddress] },
+            placement: { enabled: false },
             drain: { balancerDelayMilliseconds: 0 },
         }),
         "fixture settings",
