--- a/bench/answer-world.ts
+++ b/bench/answer-world.ts
@@ -82,6 +82,8 @@
     firstTokenAt: number | undefined;
     readonly tokenTimes: number[] = [];
     outOfOrder = false;
+    /** Whether the caller went away. */
+    gone = false;
     end: AnswerEnd | undefined;
     error: PomelostallError | undefined;
     answer: Answer | undefined;
@@ -191,6 +193,11 @@
         return Math.max(0, layerTokens / layerTotal - needed);
     }
 
+    /** Stages of this router's attempts that are counted as under way. */
+    get attemptsInFlight(): number {
+        return [...this.records.values()].reduce((total, record) => total + record.ownAttempts, 0);
+    }
+
     stop(): void {
         this.engines.forEach(engine => engine.stop());
         this.links.forEach(link => link.close());
