Bound stalls by usual gaps, and admit by the promised gap between tokens

Aim: no false stalls at busy engines, and a token limit that does not grow until every answer is slow.

--- a/src/process/outlier-ejection/stage-progress.ts
+++ b/src/process/outlier-ejection/stage-progress.ts
@@ -3,14 +3,31 @@
  * that go on serving others are not at fault.
  */
 import { LRUCache } from "lru-cache";
-import { monotonicNow } from "../../common/clock.js";
 
 const maximumServers = 10_000;
+/** Weights of the newest gap in its average and deviation, as TCP takes them for round trips. */
+const averageShare = 1 / 8;
+const deviationShare = 1 / 4;
+const deviationsAllowed = 4;
 
 /** The progress of one backend server. */
-export interface ServerProgress {
+export class ServerProgress {
     /** Monotonic milliseconds. */
-    lastTokenAt: number;
+    lastTokenAt = -Infinity;
+    private averageGap = 0;
+    private gapDeviation = 0;
+
+    /** Notes the time between two tokens of one answer. */
+    recordGap(milliseconds: number): void {
+        const error = milliseconds - this.averageGap;
+        this.averageGap += error * averageShare;
+        this.gapDeviation += (Math.abs(error) - this.gapDeviation) * deviationShare;
+    }
+
+    /** The longest time between two tokens that is usual at present, in milliseconds. */
+    get usualGapMilliseconds(): number {
+        return this.averageGap + deviationsAllowed * this.gapDeviation;
+    }
 }
 
 export class StageProgress {
@@ -20,17 +37,9 @@
     of(backendServer: string): ServerProgress {
         let progress = this.servers.get(backendServer);
         if (progress === undefined) {
-            progress = { lastTokenAt: -Infinity };
+            progress = new ServerProgress();
             this.servers.set(backendServer, progress);
         }
         return progress;
     }
 }
-
-/** Notes a token that came through the given servers. */
-export function recordProgress(servers: readonly ServerProgress[]): void {
-    const now = monotonicNow();
-    for (const server of servers) {
-        server.lastTokenAt = now;
-    }
-}
--- a/src/request/admission/fair-admission.ts
+++ b/src/request/admission/fair-admission.ts
@@ -17,6 +17,7 @@
 const serviceRateWindowMilliseconds = 3_000;
 const millisecondsPerSecond = 1000;
 const maximumRetryAfterSeconds = 60;
+const creditSeconds = 5;
 
 export interface FairAdmissionDependencies {
     readonly limits: Pick<CustomerLimits, "tryTake" | "correct">;
@@ -81,7 +82,7 @@
         }
     }
 
-    /** Milliseconds in the queue, by the customer's share of the work that is finished at present. */
+    /** Milliseconds in the queue, by how fast work is finished at present. */
     private expectedWait(customer: string, weight: number, tokens: number): number {
         if (this.queue.size === 0 && this.fits(tokens)) {
             return 0;
@@ -90,8 +91,8 @@
         if (rate <= 0 || this.serviceRate.ageMilliseconds < serviceRateWindowMilliseconds) {
             return 0;
         }
-        const customerRate = (rate * weight) / this.queue.activeWeight(customer, weight);
-        return (this.queue.tokensOf(customer) * millisecondsPerSecond) / customerRate;
+        const distance = this.queue.distance(customer, weight, this.credit(customer, weight));
+        return (distance * this.queue.activeWeight(customer, weight) * millisecondsPerSecond) / rate;
     }
 
     private enqueue(request: AdmissionRequest, tokens: number): Promise<AdmissionTicket> {
@@ -130,11 +131,16 @@
                 },
             };
             request.signal?.addEventListener("abort", callerGone);
-            this.queue.push(entry);
+            this.queue.push(entry, this.credit(entry.customer, entry.weight));
             this.serve();
         });
     }
 
+    /** What a customer may catch up with: the work of its share in the last few seconds. */
+    private credit(customer: string, weight: number): number {
+        return (this.serviceRate.perSecond * creditSeconds) / this.queue.activeWeight(customer, weight);
+    }
+
     /** Admits in fair order while there is room. */
     private serve(): void {
         for (let entry = this.queue.peek(); entry !== undefined && this.fits(entry.tokens); entry = this.queue.peek()) {
--- a/src/request/admission/fair-queue.ts
+++ b/src/request/admission/fair-queue.ts
@@ -4,6 +4,10 @@
  * customer, requests of a lower priority number go first, then older ones.
  */
 
+import { LRUCache } from "lru-cache";
+
+const maximumCustomers = 10_000;
+
 /** Something that waits. */
 export interface QueueEntry {
     readonly customer: string;
@@ -21,8 +25,8 @@
 
 export class FairQueue<Entry extends QueueEntry> {
     private readonly waiting = new Map<string, CustomerQueue<Entry>>();
-    /** Virtual start times of customers without a queue that are ahead of the virtual time. */
-    private readonly ahead = new Map<string, number>();
+    /** Virtual start times of customers without a queue, while they still count. */
+    private readonly ahead = new LRUCache<string, number>({ max: maximumCustomers });
     private virtualTime = 0;
 
     get size(): number {
@@ -37,10 +41,6 @@
         return this.waiting.get(customer)?.entries.length ?? 0;
     }
 
-    tokensOf(customer: string): number {
-        return this.waiting.get(customer)?.tokens ?? 0;
-    }
-
     /** Sum of the weights of customers that wait, the given one counted in. */
     activeWeight(customer: string, weight: number): number {
         let total = this.waiting.has(customer) ? 0 : weight;
@@ -50,10 +50,18 @@
         return total;
     }
 
-    push(entry: Entry): void {
+    /** Work for weight 1 that is served before a new entry of the customer, by the virtual time. */
+    distance(customer: string, weight: number, credit = 0): number {
+        const queue = this.waiting.get(customer);
+        const start = queue?.virtualStart ?? Math.max(this.virtualTime - credit, this.ahead.get(customer) ?? 0);
+        return Math.max(0, start + (queue?.tokens ?? 0) / weight - this.virtualTime);
+    }
+
+    /** A customer that took less than its share lately may catch up by at most the credit, in tokens for weight 1. */
+    push(entry: Entry, credit = 0): void {
         let queue = this.waiting.get(entry.customer);
         if (queue === undefined) {
-            const virtualStart = Math.max(this.virtualTime, this.ahead.get(entry.customer) ?? 0);
+            const virtualStart = Math.max(this.virtualTime - credit, this.ahead.get(entry.customer) ?? 0);
             queue = { entries: [], tokens: 0, weight: entry.weight, virtualStart };
             this.waiting.set(entry.customer, queue);
             this.ahead.delete(entry.customer);
@@ -103,8 +111,8 @@
             queue.virtualStart += tokens / weight;
             return;
         }
-        const start = Math.max(this.virtualTime, this.ahead.get(customer) ?? 0) + tokens / weight;
-        this.remember(customer, start);
+        const start = this.ahead.get(customer) ?? this.virtualTime;
+        this.remember(customer, start + tokens / weight);
     }
 
     private next(): CustomerQueue<Entry> | undefined {
@@ -125,11 +133,6 @@
     }
 
     private remember(customer: string, virtualStart: number): void {
-        if (virtualStart > this.virtualTime) {
-            this.ahead.set(customer, virtualStart);
-        }
-        else {
-            this.ahead.delete(customer);
-        }
+        this.ahead.set(customer, virtualStart);
     }
 }
--- a/src/request/answer/answer-run.ts
+++ b/src/request/answer/answer-run.ts
@@ -14,7 +14,7 @@
     NoPipelineError,
     Outcome,
 } from "../../errors/index.js";
-import { recordProgress, type StageProgress } from "../../process/outlier-ejection/stage-progress.js";
+import type { StageProgress } from "../../process/outlier-ejection/stage-progress.js";
 import type { PipelineChoice } from "../pipeline-choice/types.js";
 import { backoffMilliseconds } from "../retry/backoff.js";
 import type { AnswerLengths } from "./answer-lengths.js";
@@ -25,17 +25,14 @@
     freeFruitlessAttempts,
     maximumAttempts,
     maximumFruitlessAttempts,
-    maximumQueueingMilliseconds,
-    minimumFirstTokenStallMilliseconds,
-    minimumResumeStallMilliseconds,
     minimumTokenStallMilliseconds,
-    stallFactor,
 } from "./constants.js";
 import type { CurrentAttempt } from "./current-attempt.js";
 import { type AnswerDependencies, RecoveryStrategy } from "./dependencies.js";
 import { FaultAttribution } from "./fault-attribution.js";
 import { FrameChecker } from "./frame-checker.js";
 import { RecoveryState } from "./recovery-state.js";
+import { isQueueing, stallDue } from "./stall.js";
 import type { AnswerEvent, AnswerRequest } from "./types.js";
 
 export class AnswerRun implements AttemptListener {
@@ -53,7 +50,7 @@
     private paused = false;
     /** Whether the present attempt has sent no token yet. */
     private awaitsFirstToken = true;
-    private dispatchedAt = 0;
+    private tokenAt = 0;
     private finished = false;
     /** When the last attempt failed, until the caller's next token. */
     private failedAt: number | undefined;
@@ -97,10 +94,10 @@
     }
 
     token(frame: TokenFrame): void {
-        recordProgress(this.current?.servers ?? []);
+        this.recordProgress();
         if (this.awaitsFirstToken) {
             this.awaitsFirstToken = false;
-            this.dependencies.capacity?.firstToken(monotonicNow() - this.dispatchedAt);
+            this.dependencies.capacity?.firstToken(monotonicNow() - (this.current?.dispatchedAt ?? 0));
             this.watch();
         }
         if (frame.position < this.generated.length) {
@@ -143,6 +140,23 @@
         void this.recover(attempt, failure);
     }
 
+    /** Notes that every stage works, and how long the caller waited for this token. */
+    private recordProgress(): void {
+        const attempt = this.current;
+        if (attempt === undefined) {
+            return;
+        }
+        const now = monotonicNow();
+        if (!this.awaitsFirstToken && !this.paused) {
+            attempt.servers[0]!.recordGap(now - this.tokenAt);
+            this.dependencies.capacity?.tokenGap(now - this.tokenAt);
+        }
+        this.tokenAt = now;
+        for (const server of attempt.servers) {
+            server.lastTokenAt = now;
+        }
+    }
+
     private async recover(attempt: CurrentAttempt, failure: AttemptFailure): Promise<void> {
         if (failure.mayHaveRun) {
             this.recovery.keepCache(attempt.choice.plan, attempt.id, attempt.run.madeProgress);
@@ -253,7 +267,6 @@
         const id = randomUUID();
         this.attempts++;
         this.awaitsFirstToken = true;
-        this.dispatchedAt = monotonicNow();
         logger.decision({
             kind: this.attempts === 1 ? "pipeline" : "recovery",
             chosen: plan.stages.map(stage => stage.backendServer).join(">"),
@@ -273,7 +286,14 @@
         const run = new AttemptRun(attempt, checker, first.backendServer, this);
         const expected = this.expectedTokens + choice.recomputedTokens;
         const servers = plan.stages.map(stage => this.progress.of(stage.backendServer));
-        this.current = { id, choice, run, servers, endCount: ledger.begin(plan, expected) };
+        this.current = {
+            id,
+            choice,
+            run,
+            servers,
+            dispatchedAt: monotonicNow(),
+            endCount: ledger.begin(plan, expected),
+        };
         if (this.paused) {
             run.pause();
         }
@@ -320,34 +340,19 @@
             return;
         }
         const attempt = this.current;
-        if (attempt !== undefined && !this.paused && now >= this.stallDue(attempt) && !this.isQueueing(attempt, now)) {
+        if (
+            attempt !== undefined && !this.paused && now >= stallDue(attempt, this.attempts === 1)
+            && !isQueueing(attempt, now)
+        ) {
             attempt.run.stall();
         }
-        const stallDue = this.current === undefined || this.paused ? Infinity : this.stallDue(this.current);
-        const due = Math.min(this.request.deadline, Math.max(stallDue, now + minimumTokenStallMilliseconds / 4));
+        const stallAt = this.current === undefined || this.paused
+            ? Infinity
+            : stallDue(this.current, this.attempts === 1);
+        const due = Math.min(this.request.deadline, Math.max(stallAt, now + minimumTokenStallMilliseconds / 4));
         this.watchdog = setTimeout(() => this.watch(), Math.max(1, due - now));
     }
 
-    private stallDue(attempt: CurrentAttempt): number {
-        const { run, choice } = attempt;
-        if (run.madeProgress) {
-            const bound = stallFactor * choice.expectedTokenMilliseconds;
-            return run.lastProgress + Math.max(minimumTokenStallMilliseconds, bound);
-        }
-        const minimum = this.attempts === 1 ? minimumFirstTokenStallMilliseconds : minimumResumeStallMilliseconds;
-        return run.lastProgress + Math.max(minimum, stallFactor * choice.expectedFirstTokenMilliseconds);
-    }
-
-    /**
-     * Whether an attempt without a token merely waits behind others: all of its backend servers have just served tokens
-     * of other answers. Giving it up would only add to their load.
-     */
-    private isQueueing({ run, servers }: CurrentAttempt, now: number): boolean {
-        return !run.madeProgress
-            && now - this.dispatchedAt < maximumQueueingMilliseconds
-            && servers.every(server => now - server.lastTokenAt < minimumTokenStallMilliseconds);
-    }
-
     private get expectedTokens(): number {
         const { route, maximumTokens } = this.request;
         return this.lengths.remaining(route.name, this.generated.length, maximumTokens);
--- a/src/request/answer/constants.ts
+++ b/src/request/answer/constants.ts
@@ -9,6 +9,9 @@
 /** The shortest time without a token that counts as a stall once tokens flow. */
 export const minimumTokenStallMilliseconds = 500;
 
+/** The longest time without a token that is borne once tokens flow. */
+export const maximumTokenStallMilliseconds = 4_000;
+
 /** The shortest time without a token that counts as a stall before an answer's first token. */
 export const minimumFirstTokenStallMilliseconds = 1_200;
 
--- a/src/request/answer/current-attempt.ts
+++ b/src/request/answer/current-attempt.ts
@@ -9,5 +9,7 @@
     readonly run: AttemptRun;
     /** Progress of the plan's backend servers, in the order of its stages. */
     readonly servers: readonly ServerProgress[];
+    /** Monotonic milliseconds. */
+    readonly dispatchedAt: number;
     readonly endCount: () => void;
 }
--- a/test/request/admission/fair-queue.test.ts
+++ b/test/request/admission/fair-queue.test.ts
@@ -45,6 +45,22 @@
         expect(queue.shift()!.customer).toBe("busy");
     });
 
+    test("lets a customer that took less than its share catch up by the credit, and no further", () => {
+        const queue = new FairQueue();
+        for (let index = 0; index < 20; index++) {
+            queue.push(entry("busy", 1, 100));
+        }
+        for (let index = 0; index < 10; index++) {
+            queue.shift();
+        }
+        for (let index = 0; index < 10; index++) {
+            queue.push(entry("late", 1, 100), 300);
+        }
+        const order = Array.from({ length: 8 }, () => queue.shift()!.customer);
+        expect(order.filter(customer => customer === "late").length).toBeGreaterThanOrEqual(5);
+        expect(order.filter(customer => customer === "late").length).toBeLessThanOrEqual(6);
+    });
+
     test("charges for tokens beyond the estimate, and serves lower priority numbers first", () => {
         const queue = new FairQueue();
         queue.push(entry("a", 1, 10, 5));
--- a/test/request/answer/fakes.ts
+++ b/test/request/answer/fakes.ts
@@ -118,7 +118,7 @@
         retryBudgets: {
             forRoute: () => ({ recordFirstAttempt: () => undefined, tryTake: () => this.retriesLeft-- > 0 }),
         },
-        capacity: { firstToken: () => undefined, overloaded: () => undefined },
+        capacity: { firstToken: () => undefined, tokenGap: () => undefined, overloaded: () => undefined },
         random: new SeededRandom(1),
         logger: new SilentLogger(),
         metrics: new SilentMetrics(),
