--- a/src/process/ledger/index.ts
+++ b/src/process/ledger/index.ts
@@ -1,4 +1,5 @@
 /** The ledger of bookings that carry a key. */
 export { maximumAnswerBytes, retentionMilliseconds, shardTotal } from "./constants.js";
 export { OutcomeRecorder } from "./outcome-recorder.js";
+export { settleBooking } from "./settle-booking.js";
 export { ShardedLedger, type ShardedLedgerOptions, shardOf } from "./sharded-ledger.js";
--- a/src/process/ledger/outcome-recorder.ts
+++ b/src/process/ledger/outcome-recorder.ts
@@ -28,7 +28,9 @@
 
     /** Gives what waits some time to be written. */
     async stop(): Promise<void> {
-        await Promise.race([Promise.all(this.waiting), delay(stopTimeoutMilliseconds)]);
+        const written = new AbortController();
+        await Promise.race([Promise.all(this.waiting), delay(stopTimeoutMilliseconds, written.signal)]);
+        written.abort();
         this.stopping.abort();
     }
 
