--- a/bench/throughput.bench.ts
+++ b/bench/throughput.bench.ts
@@ -7,6 +7,7 @@
 import type { Location, Topology } from "../src/domain/topology.js";
 import {
     LeastInFlightPipelineChooser,
+    NearestFirstPipelineChooser,
     RoundRobinPipelineChooser,
 } from "../src/request/pipeline-choice/simple-choosers.js";
 import type { PipelineChooser } from "../src/request/pipeline-choice/types.js";
@@ -179,6 +180,10 @@
         ({ graphs, registry }) => new LeastInFlightPipelineChooser(graphs, registry),
         offered,
     );
+    const nearestFirst = await measure(
+        ({ graphs, registry, location, random }) => new NearestFirstPipelineChooser(graphs, registry, location, random),
+        offered,
+    );
     const cost = await measure(({ chooser }) => chooser, offered);
     const share = { bench: "throughput", unit: "of the bound" };
     return [
@@ -191,6 +196,7 @@
             baseline: roundRobin / bound,
         },
         { ...share, figure: "tokens done by the least-in-flight baseline", value: leastInFlight / bound },
+        { ...share, figure: "tokens done by the nearest-first baseline", value: nearestFirst / bound },
     ];
 }
 
--- a/src/request/pipeline-choice/simple-choosers.ts
+++ b/src/request/pipeline-choice/simple-choosers.ts
@@ -1,7 +1,9 @@
-/** Baselines for the choice of a pipeline: round robin, and the fewest own requests in flight. */
+/** Baselines for the choice of a pipeline: round robin, fewest own requests in flight, and nearest first. */
 import { randomUUID } from "node:crypto";
 import { monotonicNow } from "../../common/clock.js";
+import { randomInteger, type RandomSource } from "../../common/random.js";
 import { PipelinePlan, type Stage } from "../../domain/pipeline-plan.js";
+import type { Location } from "../../domain/topology.js";
 import { NoPipelineError } from "../../errors/index.js";
 import type { BackendServerSource, PipelineGraphs } from "../../version/pipeline-graph/pipeline-graphs.js";
 import type { PipelineServer } from "../../version/pipeline-graph/types.js";
@@ -58,3 +60,23 @@
         return candidates.reduce((best, server) => inFlight(server) < inFlight(best) ? server : best);
     }
 }
+
+/** Takes a random server of those that are nearest to the router. */
+export class NearestFirstPipelineChooser extends LayerByLayerChooser {
+    constructor(
+        graphs: PipelineGraphs,
+        servers: BackendServerSource,
+        private readonly location: Location,
+        private readonly random: RandomSource,
+    ) {
+        super(graphs, servers);
+    }
+
+    protected override pick(candidates: readonly PipelineServer[]): PipelineServer {
+        const latency = (server: PipelineServer) =>
+            this.graphs.configuration.topology.link(this.location, server.location).latencyMilliseconds;
+        const least = Math.min(...candidates.map(latency));
+        const nearest = candidates.filter(server => latency(server) === least);
+        return nearest[randomInteger(this.random, nearest.length)]!;
+    }
+}
--- a/test/request/pipeline-choice/cost-pipeline-chooser.test.ts
+++ b/test/request/pipeline-choice/cost-pipeline-chooser.test.ts
@@ -7,12 +7,13 @@
 import { ExactInFlightLedger } from "../../../src/process/backend-servers/exact-in-flight-ledger.js";
 import {
     LeastInFlightPipelineChooser,
+    NearestFirstPipelineChooser,
     RoundRobinPipelineChooser,
 } from "../../../src/request/pipeline-choice/simple-choosers.js";
 import type { PipelineChooser } from "../../../src/request/pipeline-choice/types.js";
 import { PipelineGraphs } from "../../../src/version/pipeline-graph/pipeline-graphs.js";
 import { configuration, costChooser, pipelineRequest, record, RecordSource } from "../../support/backend-servers.js";
-import { fixedTopology, model } from "../../support/pipelines.js";
+import { fixedTopology, location, model } from "../../support/pipelines.js";
 
 const topology = fixedTopology({}, { latencyMilliseconds: 1, bytesPerSecond: 1e9 });
 const farTopology = fixedTopology({}, { latencyMilliseconds: 50, bytesPerSecond: 1e7 });
@@ -68,6 +69,7 @@
                         costChooser(source, described, topology, seed),
                         new RoundRobinPipelineChooser(graphs, source),
                         new LeastInFlightPipelineChooser(graphs, source),
+                        new NearestFirstPipelineChooser(graphs, source, location("a"), new SeededRandom(seed)),
                     ];
                     for (const chooser of choosers) {
                         const choose = () => chooser.choose(pipelineRequest(described, { excluded }));
