Let loads take longer than the usual order deadline on a slow weight store

Cause: orders had a deadline of 30 s at most, so a load that needs longer was refused by the engine for ever. Change: the longest deadline follows the largest load; it is written beside the fencing number before it is used, since the next holder waits that long for classes that ignore the number. Measured: a test with loads of 60 to 70 s fails before and passes after.

--- a/src/process/placement/constants.ts
+++ b/src/process/placement/constants.ts
@@ -27,8 +27,10 @@
 
 /** Deadline of an order, without the time that its weights need. */
 export const orderTimeoutMilliseconds = 5_000;
-/** No order has a longer deadline; a new holder waits this long for the old one's last order. */
+/** Longest deadline of an order, unless some load needs more; a new holder waits this long for the old one's last. */
 export const longestOrderMilliseconds = 30_000;
+/** The longest deadline allows this many times what the largest load needs. */
+export const longestLoadAllowance = 1.5;
 /** A load's deadline allows this many times the time that its weights need. */
 export const loadTimeAllowance = 4;
 export const readHoldingsTimeoutMilliseconds = 1_000;
--- a/src/process/placement/order-sender.ts
+++ b/src/process/placement/order-sender.ts
@@ -17,7 +17,6 @@
 import { OrderNotSentError, OrderTimeoutError } from "../../errors/index.js";
 import {
     loadTimeAllowance,
-    longestOrderMilliseconds,
     orderAttemptLimit,
     orderRetryMilliseconds,
     orderTimeoutMilliseconds,
@@ -130,7 +129,7 @@
 
     private timeout(step: TransitionStep): number {
         const loading = this.pacer.loadMilliseconds(step.bytes) * loadTimeAllowance;
-        return Math.min(longestOrderMilliseconds, orderTimeoutMilliseconds + loading);
+        return Math.min(this.lease.longestOrderMilliseconds, orderTimeoutMilliseconds + loading);
     }
 
     private async waitForEarlierHolder(server: BackendServerDescription, signal: AbortSignal): Promise<void> {
--- a/src/process/placement/placement-holder.ts
+++ b/src/process/placement/placement-holder.ts
@@ -14,9 +14,10 @@
 import {
     leaseRenewMilliseconds,
     leaseRetryMilliseconds,
-    longestOrderMilliseconds,
+    longestLoadAllowance,
     observeIntervalMilliseconds,
     orderRetryMilliseconds,
+    orderTimeoutMilliseconds,
 } from "./constants.js";
 import { KnownHoldings } from "./known-holdings.js";
 import { OrderSender } from "./order-sender.js";
@@ -151,6 +152,11 @@
         await delay(wait, this.stopping.signal);
     }
 
+    /** A deadline that the largest load meets. */
+    private longestOrderMilliseconds(): number {
+        return orderTimeoutMilliseconds + this.largestLoadMilliseconds() * longestLoadAllowance;
+    }
+
     private largestLoadMilliseconds(): number {
         const { models, backendServerClasses } = this.parts.configuration.current;
         const memory = Math.max(0, ...[...backendServerClasses.values()].map(serverClass => serverClass.memoryBytes));
@@ -175,6 +181,7 @@
         const { configuration, fleet, lease, logger } = this.parts;
         const { current } = configuration;
         this.pacer.setRate(current.weightStore.bytesPerSecond);
+        await lease.allowOrderTime(this.longestOrderMilliseconds());
         const servers = await this.known.refresh(fleet.backendServers(), id => fleet.isLeaving(id));
         if (lease.fencingNumber !== undefined && this.known.highestFencingNumber > lease.fencingNumber) {
             await lease.raiseAbove(this.known.highestFencingNumber);
@@ -193,7 +200,7 @@
         );
         const result = await executor.execute(view.transition, servers, current.models, signal);
         if (result.unreachable.length > 0) {
-            this.unsettledUntil = monotonicNow() + longestOrderMilliseconds;
+            this.unsettledUntil = monotonicNow() + this.parts.lease.longestOrderMilliseconds;
         }
         this.logResult(result);
     }
--- a/src/process/placement/placement-lease.ts
+++ b/src/process/placement/placement-lease.ts
@@ -71,7 +71,7 @@
     private pending: PendingTakeOver | undefined;
     private readonly timeToLive: number;
     private readonly margin: number;
-    private readonly longestOrder: number;
+    private longestOrder: number;
     private readonly clockError: number;
 
     constructor(
@@ -109,6 +109,26 @@
         return this.held === undefined ? 0 : Math.max(0, this.held.settleUntil - monotonicNow());
     }
 
+    /** No order may have a longer deadline. */
+    get longestOrderMilliseconds(): number {
+        return this.longestOrder;
+    }
+
+    /**
+     * Allows orders with deadlines up to the given time. It is written to the platform first, since the next holder
+     * waits that long for the last of them.
+     */
+    async allowOrderTime(milliseconds: number): Promise<void> {
+        const { held } = this;
+        if (milliseconds <= this.longestOrder) {
+            return;
+        }
+        if (held !== undefined && !await this.updateFencing(held, { longestOrderMilliseconds: milliseconds })) {
+            return;
+        }
+        this.longestOrder = milliseconds;
+    }
+
     /** The present holder as the platform knows it. */
     async readHolder(): Promise<HolderRecord | undefined> {
         const entry = await this.platform.get(placementHolderKey, platformTimeoutMilliseconds);
@@ -295,23 +315,23 @@
             return;
         }
         if (settled) {
-            await this.markSettled(held);
+            await this.updateFencing(held, { settled: true });
         }
         await this.platform.revokeLease(held.leaseId, platformTimeoutMilliseconds);
     }
 
-    private async markSettled(held: HeldLease): Promise<void> {
+    /** Changes the record of the number if it still is the holder's own. */
+    private async updateFencing(held: HeldLease, change: Partial<FencingRecord>): Promise<boolean> {
         const counter = await this.platform.get(placementFencingKey, platformTimeoutMilliseconds);
-        if (counter === undefined) {
-            return;
-        }
-        const fencing = decode<FencingRecord>(counter);
-        if (fencing.fencingNumber === held.record.fencingNumber) {
-            await this.platform.transact({
-                conditions: [{ key: placementFencingKey, revision: counter.revision }],
-                writes: [{ kind: "put", key: placementFencingKey, value: encode({ ...fencing, settled: true }) }],
-            }, platformTimeoutMilliseconds);
+        const fencing = counter === undefined ? undefined : decode<FencingRecord>(counter);
+        if (counter === undefined || fencing?.fencingNumber !== held.record.fencingNumber) {
+            return false;
         }
+        const result = await this.platform.transact({
+            conditions: [{ key: placementFencingKey, revision: counter.revision }],
+            writes: [{ kind: "put", key: placementFencingKey, value: encode({ ...fencing, ...change }) }],
+        }, platformTimeoutMilliseconds);
+        return result.succeeded;
     }
 
     private lose(reason: string): void {
--- a/test/process/placement/placement-holder.test.ts
+++ b/test/process/placement/placement-holder.test.ts
@@ -257,6 +257,16 @@
         await stopAll();
     });
 
+    test("loads from a store so slow that one load takes longer than the usual deadline", async () => {
+        const rate = storeBytesPerSecond / 100;
+        world = createWorld({ servers: describeServers(6), models: [models[0]!], storeBytesPerSecond: rate });
+        await startRouters(1);
+        await jest.advanceTimersByTimeAsync(700_000);
+        expectPlaced();
+        expectStoreRateKept(rate);
+        await stopAll();
+    });
+
     test("plans around a backend server that died without a word", async () => {
         world = createWorld();
         await startRouters(1);
