--- /dev/null
+++ b/bench/soak/callers.ts
@@ -0,0 +1,126 @@
+/** The callers of the soak. Each request is kept with what its caller saw, to be compared with the stand-ins' records. */
+import { randomUUID } from "node:crypto";
+import { Agent, request } from "undici";
+import { randomInteger, type RandomSource } from "../../src/common/random.js";
+import type { RunningRouter } from "./fleet-of-routers.js";
+
+const customerKeys = ["demo-kewdale-weighbridge", "demo-bibra-lake", "demo-export-desk"];
+const routes = ["grade-report", "contamination-summary"];
+const timeoutMilliseconds = 15_000;
+const maximumTokens = 24;
+const duplicateShare = 0.2;
+
+/** What a caller saw of a chat. */
+export interface SeenChat {
+    readonly requestId: string;
+    readonly content: string;
+    readonly maximumTokens: number;
+    readonly status: number;
+    readonly text: string | undefined;
+    readonly outcome: string | undefined;
+    readonly code: string | undefined;
+}
+
+/** What a caller saw of one delivery of a booking. */
+export interface SeenBooking {
+    readonly key: string;
+    readonly status: number;
+    readonly outcome: string | undefined;
+    readonly code: string | undefined;
+}
+
+interface FailureBody {
+    readonly error?: { readonly code: string; readonly outcome: string; };
+}
+
+interface ChatBody extends FailureBody {
+    readonly choices?: readonly { readonly message: { readonly content: string; }; }[];
+}
+
+export class Callers {
+    readonly chats: SeenChat[] = [];
+    readonly bookings: SeenBooking[] = [];
+    /** Requests to which no router gave any answer at all. */
+    unanswered = 0;
+    started = 0;
+    private readonly agent = new Agent({ pipelining: 1 });
+
+    constructor(private readonly routers: readonly RunningRouter[], private readonly random: RandomSource) {}
+
+    async chat(): Promise<void> {
+        this.started++;
+        const requestId = randomUUID();
+        const content = `Grade load ${randomInteger(this.random, 1e6)} of the morning.`;
+        const body = { model: this.pick(routes), max_tokens: maximumTokens, messages: [{ role: "user", content }] };
+        const reply = await this.send("/v1/chat/completions", JSON.stringify(body), {
+            "x-request-id": requestId,
+            "authorization": `Bearer ${this.pick(customerKeys)}`,
+        });
+        if (reply === undefined) {
+            this.unanswered++;
+            return;
+        }
+        const parsed = JSON.parse(reply.text) as ChatBody;
+        this.chats.push({
+            requestId,
+            content,
+            maximumTokens,
+            status: reply.status,
+            text: parsed.choices?.[0]?.message.content,
+            outcome: parsed.error?.outcome,
+            code: parsed.error?.code,
+        });
+    }
+
+    /** Books once, or with two deliveries of the same key to different routers. */
+    async book(): Promise<void> {
+        const key = randomUUID();
+        // A key belongs to its customer, so that every delivery must come from the same one.
+        const customerKey = this.pick(customerKeys);
+        const deliveries = this.random.next() < duplicateShare ? 2 : 1;
+        await Promise.all(Array.from({ length: deliveries }, () => this.deliver(key, customerKey)));
+    }
+
+    private async deliver(key: string, customerKey: string): Promise<void> {
+        this.started++;
+        const reply = await this.send("/services/bookings/bookings", JSON.stringify({ key }), {
+            "idempotency-key": key,
+            "authorization": `Bearer ${customerKey}`,
+        });
+        if (reply === undefined) {
+            this.unanswered++;
+            return;
+        }
+        const parsed = JSON.parse(reply.text) as FailureBody;
+        this.bookings.push({ key, status: reply.status, outcome: parsed.error?.outcome, code: parsed.error?.code });
+    }
+
+    private async send(path: string, body: string, headers: Record<string, string>) {
+        const router = this.pick(this.routers);
+        try {
+            const response = await request(`${router.router.callersAddress}${path}`, {
+                method: "POST",
+                dispatcher: this.agent,
+                headers: {
+                    ...headers,
+                    "x-request-timeout-ms": String(timeoutMilliseconds),
+                },
+                body,
+                headersTimeout: 2 * timeoutMilliseconds,
+                bodyTimeout: 2 * timeoutMilliseconds,
+            });
+            return { status: response.statusCode, text: await response.body.text() };
+        }
+        catch {
+            return undefined;
+        }
+    }
+
+    private pick<Item>(items: readonly Item[]): Item {
+        return items[randomInteger(this.random, items.length)]!;
+    }
+
+    close(): Promise<void> {
+        return this.agent.destroy();
+    }
+}
--- a/src/daemon/router.ts
+++ b/src/daemon/router.ts
@@ -59,6 +59,7 @@
     /** Resolves when the router has drained and every part has stopped. */
     readonly stopped: Promise<void>;
     private readonly lifeCycle: LifeCycle;
+    private readonly peersBaseUrl: string;
     private readonly callers: HttpListener;
     private readonly operators: HttpListener;
     private resolveStopped: () => void = () => undefined;
@@ -73,6 +74,7 @@
         this.drain = new DrainController(settings.drain, logger.withLabel("drain"));
         const keyValueService = new HttpKeyValueService(keyValueClient);
         const fleet = peers.membership;
+        this.peersBaseUrl = fleet.self.address;
         const configurations = new ConfigurationStore({
             initial: createEmptyConfiguration(),
             parse: buildConfiguration,
@@ -244,6 +246,11 @@
         return this.callers.address;
     }
 
+    /** Base URL for other routers. */
+    get peersAddress(): string {
+        return this.peersBaseUrl;
+    }
+
     /** Base URL for operators; known after start. */
     get operatorsAddress(): string {
         return this.operators.address;
--- a/src/stand-ins/fleet/stand-in-fleet.ts
+++ b/src/stand-ins/fleet/stand-in-fleet.ts
@@ -20,6 +20,8 @@
     readonly configuration: Configuration;
     readonly locations: readonly Location[];
     readonly seed: number;
+    /** Backend servers in all; at least one of each part of each model in each availability zone. */
+    readonly backendServerTotal?: number;
     /** Speeds the engines up, so that tests do not wait; 1 for the classes' own speed. */
     readonly speedFactor?: number;
 }
@@ -62,6 +64,13 @@
         this.publishVms();
     }
 
+    /** Takes a router off the platform's list. */
+    removeRouter(id: string): void {
+        const index = this.routers.findIndex(entry => entry.id === id);
+        this.routers.splice(index, index < 0 ? 0 : 1);
+        this.publishVms();
+    }
+
     /** Writes the list of VMs anew; leaving backend servers are marked. */
     publishVms(leaving: ReadonlySet<string> = new Set()): void {
         const backendServers = this.backendServers.map(each =>
@@ -88,33 +97,52 @@
     }
 
     private async startBackendServers(): Promise<void> {
-        const { configuration, locations } = this.options;
-        const weightStore = new WeightStore(configuration.weightStore.bytesPerSecond);
+        const weightStore = new WeightStore(this.options.configuration.weightStore.bytesPerSecond);
         const random = new SeededRandom(this.options.seed);
-        for (const location of locations) {
-            for (const model of configuration.models.values()) {
-                for (const part of splitModel(model, [...configuration.backendServerClasses.values()])) {
-                    const server = new StandInBackendServer({
-                        id: `${location.availabilityZone}-${model.name}-${part.layers.first}`,
-                        location,
-                        class: this.accelerate(part.class),
-                        holdings: [{
-                            model: model.name,
-                            modelVersion: model.version,
-                            layers: part.layers,
-                            adapters: model.adapters,
-                        }],
-                        layerBytes: model.layerBytes,
-                        activationBytes: model.activationBytes,
-                        cacheBytesPerTokenLayer: model.cacheBytesPerTokenLayer,
-                    }, { network: this.network, weightStore, random });
-                    await server.start();
-                    this.backendServers.push({ server, location, className: part.class.name });
-                }
-            }
+        const slots = this.slots();
+        const total = Math.max(slots.length, this.options.backendServerTotal ?? slots.length);
+        for (let index = 0; index < total; index++) {
+            const slot = slots[index % slots.length]!;
+            const server = this.createServer(slot, Math.floor(index / slots.length), weightStore, random);
+            await server.start();
+            this.backendServers.push({ server, location: slot.location, className: slot.part.class.name });
         }
     }
 
+    /** Every part of every model in every availability zone. */
+    private slots(): FleetSlot[] {
+        const { configuration, locations } = this.options;
+        const classes = [...configuration.backendServerClasses.values()];
+        return locations.flatMap(location =>
+            [...configuration.models.values()].flatMap(model =>
+                splitModel(model, classes).map(part => ({ location, model, part }))
+            )
+        );
+    }
+
+    private createServer(
+        { location, model, part }: FleetSlot,
+        copy: number,
+        weightStore: WeightStore,
+        random: SeededRandom,
+    ): StandInBackendServer {
+        const suffix = copy === 0 ? "" : `-${copy + 1}`;
+        return new StandInBackendServer({
+            id: `${location.availabilityZone}-${model.name}-${part.layers.first}${suffix}`,
+            location,
+            class: this.accelerate(part.class),
+            holdings: [{
+                model: model.name,
+                modelVersion: model.version,
+                layers: part.layers,
+                adapters: model.adapters,
+            }],
+            layerBytes: model.layerBytes,
+            activationBytes: model.activationBytes,
+            cacheBytesPerTokenLayer: model.cacheBytesPerTokenLayer,
+        }, { network: this.network, weightStore, random });
+    }
+
     private accelerate(backendServerClass: BackendServerClass): BackendServerClass {
         const factor = this.options.speedFactor ?? 1;
         return { ...backendServerClass, layerTokensPerSecond: backendServerClass.layerTokensPerSecond * factor };
@@ -129,6 +157,13 @@
     }
 }
 
+/** Where a backend server of the fleet stands, and what it holds. */
+interface FleetSlot {
+    readonly location: Location;
+    readonly model: ModelDescription;
+    readonly part: ModelPart;
+}
+
 interface ModelPart {
     readonly layers: LayerRange;
     readonly class: BackendServerClass;
