Hand booking operations to the router that usually writes their shard

Cause: without the hand-over every router wrote every shard it was asked for, so that writes of one shard were not batched over the fleet. A peer call carries the operation; the compare-and-swap still decides.

--- a/src/connection/router/index.ts
+++ b/src/connection/router/index.ts
@@ -1,4 +1,5 @@
 /** Links between routers. */
 export * from "./certificates.js";
 export * from "./peer-client.js";
+export * from "./peer-ledger.js";
 export * from "./peer-server.js";
--- a/src/connection/router/peer-client.ts
+++ b/src/connection/router/peer-client.ts
@@ -4,6 +4,7 @@
 import type { SecureClientSessionOptions } from "node:http2";
 import { monotonicNow } from "../../common/clock.js";
 import type { Managed } from "../../common/life-cycle.js";
+import type { LedgerOperation, LedgerResult } from "../../domain/booking-ledger.js";
 import type { StoredVersion } from "../../domain/version-exchange.js";
 import { PeerUnreachableError } from "../../errors/index.js";
 import { PeerService } from "../../generated/pomelostall/peer/v1/peer_pb.js";
@@ -75,6 +76,18 @@
         return reply.stored === undefined ? undefined : decodeStored(reply.stored);
     }
 
+    /** Rejects with a PeerUnreachableError; the operation may still take effect. */
+    async submitBooking(
+        address: string,
+        operation: LedgerOperation,
+        timeoutMilliseconds: number,
+    ): Promise<LedgerResult> {
+        const request = { operationJson: JSON.stringify(operation), timeoutMilliseconds };
+        const options = { timeoutMs: timeoutMilliseconds };
+        const reply = await this.call(address, client => client.submitBooking(request, options));
+        return JSON.parse(reply.resultJson) as LedgerResult;
+    }
+
     forget(address: string): void {
         this.links.get(address)?.sessions.abort();
         this.links.delete(address);
--- /dev/null
+++ b/src/connection/router/peer-ledger.ts
@@ -0,0 +1,18 @@
+/** Hands operations of the booking ledger to the routers that usually write their shards. */
+import type { LedgerOperation, LedgerPeers, LedgerResult } from "../../domain/booking-ledger.js";
+import type { Fleet } from "../../domain/fleet.js";
+import { PeerUnreachableError } from "../../errors/index.js";
+import type { PeerClient } from "./peer-client.js";
+
+export class PeerLedger implements LedgerPeers {
+    constructor(private readonly fleet: Fleet, private readonly client: PeerClient) {}
+
+    /** Rejects with a PeerUnreachableError when the router is not known or does not answer in time. */
+    async submit(routerId: string, operation: LedgerOperation, timeoutMilliseconds: number): Promise<LedgerResult> {
+        const member = this.fleet.members().find(each => each.id === routerId);
+        if (member === undefined) {
+            throw new PeerUnreachableError(routerId);
+        }
+        return this.client.submitBooking(member.address, operation, timeoutMilliseconds);
+    }
+}
--- a/src/connection/router/peer-server.ts
+++ b/src/connection/router/peer-server.ts
@@ -1,5 +1,5 @@
 /** Answers other routers: connect-es over HTTP/2, with mutual TLS when there are certificates. */
-import type { ConnectRouter } from "@connectrpc/connect";
+import { Code, ConnectError, type ConnectRouter } from "@connectrpc/connect";
 import { connectNodeAdapter } from "@connectrpc/connect-node";
 import {
     createSecureServer,
@@ -12,6 +12,7 @@
 } from "node:http2";
 import { type AddressInfo, isIPv4 } from "node:net";
 import type { Managed } from "../../common/life-cycle.js";
+import type { LedgerOperation, LedgerResult } from "../../domain/booking-ledger.js";
 import { PeerPlaintextError } from "../../errors/index.js";
 import * as wire from "../../generated/pomelostall/peer/v1/peer_pb.js";
 import type { PeerHandler } from "../../process/membership/index.js";
@@ -21,6 +22,9 @@
 /** Largest message that is read; a full state of a few thousand members, or one sheet. */
 const maximumMessageBytes = 4_000_000;
 
+/** Carries out an operation of the booking ledger here, without handing it on. */
+export type BookingHandler = (operation: LedgerOperation, timeoutMilliseconds: number) => Promise<LedgerResult>;
+
 export interface PeerServerOptions {
     readonly host: string;
     /** 0 takes any free port. */
@@ -33,6 +37,7 @@
     private readonly server: Http2Server | Http2SecureServer;
     private readonly sessions = new Set<ServerHttp2Session>();
     private handler: PeerHandler | undefined;
+    private bookingHandler: BookingHandler | undefined;
     private removeListener: () => void = () => undefined;
 
     /** Throws a PeerPlaintextError without certificates on an address other than loopback. */
@@ -57,6 +62,11 @@
         this.handler = handler;
     }
 
+    /** Sets who carries out operations of the booking ledger that other routers hand over. */
+    serveBookings(handler: BookingHandler): void {
+        this.bookingHandler = handler;
+    }
+
     /** Listens, so that the address is known before membership is made. */
     async start(): Promise<void> {
         const { host, port, certificates } = this.options;
@@ -116,6 +126,13 @@
                 const stored = this.handler!.readVersion(request.minimumVersion);
                 return stored === undefined ? {} : { stored: encodeStored(stored) };
             },
+            submitBooking: async ({ operationJson, timeoutMilliseconds }) => {
+                if (this.bookingHandler === undefined) {
+                    throw new ConnectError("This router keeps no booking ledger.", Code.Unavailable);
+                }
+                const operation = JSON.parse(operationJson) as LedgerOperation;
+                return { resultJson: JSON.stringify(await this.bookingHandler(operation, timeoutMilliseconds)) };
+            },
         });
     }
 }
--- a/src/daemon/peers.ts
+++ b/src/daemon/peers.ts
@@ -3,7 +3,13 @@
 import type { Logger } from "../common/logger.js";
 import type { Metrics } from "../common/metrics.js";
 import type { RandomSource } from "../common/random.js";
-import { CertificateSource, PeerClient, PeerServer } from "../connection/router/index.js";
+import {
+    type BookingHandler,
+    CertificateSource,
+    PeerClient,
+    PeerLedger,
+    PeerServer,
+} from "../connection/router/index.js";
 import type { VmList } from "../domain/platform.js";
 import { Membership, PeerVersions } from "../process/membership/index.js";
 import type { RouterSettings } from "../process/settings/schema.js";
@@ -19,6 +25,7 @@
 export class PeerParts {
     readonly membership: Membership;
     readonly versions: PeerVersions;
+    readonly ledger: PeerLedger;
 
     private constructor(
         private readonly certificates: CertificateSource | undefined,
@@ -33,6 +40,7 @@
             { transport: client, vmList, random, logger: logger.withLabel("membership"), metrics },
         );
         this.versions = new PeerVersions(this.membership, client);
+        this.ledger = new PeerLedger(this.membership, client);
     }
 
     /** Listens first, since a router tells its peers the address it listens at. */
@@ -46,6 +54,11 @@
         return new PeerParts(certificates, server, new PeerClient(certificates), options);
     }
 
+    /** Sets who carries out operations of the booking ledger that other routers hand over. */
+    serveBookings(handler: BookingHandler): void {
+        this.server.serveBookings(handler);
+    }
+
     /** Adds everything in the order of starting. */
     addTo(lifeCycle: LifeCycle): void {
         if (this.certificates !== undefined) {
--- a/src/daemon/router.ts
+++ b/src/daemon/router.ts
@@ -129,7 +129,15 @@
             maximumTimeoutMilliseconds: settings.callers.maximumTimeoutMilliseconds,
         });
         const models = new ModelsHandler();
-        const bookings = new BookingParts({ settings, keyValueService, fleet, logger, metrics });
+        const bookings = new BookingParts({
+            settings,
+            keyValueService,
+            fleet,
+            peers: peers.ledger,
+            logger,
+            metrics,
+        });
+        peers.serveBookings((operation, timeout) => bookings.ledger.submitHere(operation, timeout));
         const serviceCaller = new ServiceCaller({
             instances: backendServers.services,
             own: fleet.self.location,
@@ -170,6 +178,7 @@
         const placement = new PlacementParts({
             keyValueService,
             fleet,
+            operatorsAddress: `http://${settings.operators.host}:${settings.operators.port}`,
             registry: backendServers.registry,
             configurations,
             connections: backendServers.connections,
