Report lost stages at once, and write one line for each pipeline choice

Cause: a refusal that named an unreachable stage left that stage in use for every other answer until 2 s of silence, and each choice was logged twice.

--- a/src/cli/run.ts
+++ b/src/cli/run.ts
@@ -1,6 +1,7 @@
 /** Runs one command line in a given context; tests call it as the program does. */
 import { Command, CommanderError } from "commander";
 import { OperatorUnreachableError, PlatformUnavailableError, PomelostallError } from "../errors/index.js";
+import { createBookingsCommand } from "./commands/bookings.js";
 import { createDemoCommand } from "./commands/demo.js";
 import { createDrainCommand } from "./commands/drain.js";
 import { createExplainCommand } from "./commands/explain.js";
@@ -13,6 +14,7 @@
 import { type CommandContext, ExitCode } from "./context.js";
 
 const commandFactories: readonly ((context: CommandContext) => Command)[] = [
+    createBookingsCommand,
     createDemoCommand,
     createPlacementCommand,
     createRouterCommand,
--- a/src/daemon/backend-servers.ts
+++ b/src/daemon/backend-servers.ts
@@ -15,9 +15,13 @@
 import { ExactInFlightLedger } from "../process/backend-servers/exact-in-flight-ledger.js";
 import type { BackendServerStatus } from "../process/operator/status.js";
 import { OutlierEjection } from "../process/outlier-ejection/outlier-ejection.js";
+import type { BackendServerHealth } from "../process/outlier-ejection/types.js";
 import { ServiceDirectory } from "../process/service-directory/service-directory.js";
 import type { RouterSettings } from "../process/settings/schema.js";
 
+/** How requests name the failure of a server that answers and makes no progress. */
+const stalledReason = "stalled";
+
 export interface BackendServerPartsOptions {
     readonly settings: RouterSettings;
     readonly orderCredential: string | undefined;
@@ -33,7 +37,8 @@
     readonly connections: HttpBackendServerConnections;
     readonly registry: BackendServerRegistry;
     readonly services = new ServiceDirectory();
-    readonly health: OutlierEjection;
+    /** What requests report of backend servers. */
+    readonly health: BackendServerHealth;
     readonly ledger: ExactInFlightLedger;
 
     constructor(options: BackendServerPartsOptions) {
@@ -55,12 +60,13 @@
             ejected: () => this.health.ejected(),
             onList: entries => this.services.applyList(entries),
         });
-        this.health = new OutlierEjection(
+        const ejection = new OutlierEjection(
             { poolOf: id => this.poolOf(id) },
             id => this.registry.reportDraining(id),
             logger,
             options.metrics,
         );
+        this.health = new ReportingHealth(ejection, this.registry);
         this.ledger = new ExactInFlightLedger(id => this.registry.get(id));
     }
 
@@ -77,8 +83,12 @@
         }));
     }
 
-    /** The backend servers that hold a model which the given one holds too. */
-    private poolOf(id: string): string[] {
+    /** What can stand in for a VM: others of its plain service, or backend servers that hold a model of its own. */
+    private poolOf(id: string): readonly string[] {
+        const serviceVms = this.services.poolOf(id);
+        if (serviceVms !== undefined) {
+            return serviceVms;
+        }
         const models = new Set(this.registry.get(id)?.holdings?.map(holding => holding.model));
         return this.registry.list()
             .filter(record => record.holdings?.some(holding => models.has(holding.model)) === true)
@@ -86,6 +96,31 @@
     }
 }
 
+/** Tells the registry of lost servers at once, beside the ejection that follows from several failures. */
+class ReportingHealth implements BackendServerHealth {
+    constructor(private readonly ejection: OutlierEjection, private readonly registry: BackendServerRegistry) {}
+
+    ejected(): ReadonlySet<string> {
+        return this.ejection.ejected();
+    }
+
+    succeeded(backendServer: string): void {
+        this.ejection.succeeded(backendServer);
+    }
+
+    /** A stalled server still answers, so that it is not reported as unreachable. */
+    failed(backendServer: string, reason: string): void {
+        this.ejection.failed(backendServer, reason);
+        if (reason !== stalledReason) {
+            this.registry.reportUnreachable(backendServer);
+        }
+    }
+
+    draining(backendServer: string): void {
+        this.ejection.draining(backendServer);
+    }
+}
+
 function connectionSettings(
     settings: RouterSettings,
     orderCredential: string | undefined,
--- a/src/daemon/bookings.ts
+++ b/src/daemon/bookings.ts
@@ -43,7 +43,7 @@
             routerIncarnation: fleet.self.incarnation,
             isRouterAlive: (routerId, incarnation) =>
                 fleet.members().some(member =>
-                    member.id === routerId && member.incarnation === incarnation && isServing(member)
+                    member.id === routerId && member.incarnation >= incarnation && isServing(member)
                 ),
             createClaimId: randomUUID,
             wallClock: Date.now,
--- a/src/daemon/placement.ts
+++ b/src/daemon/placement.ts
@@ -91,6 +91,8 @@
 export interface PlacementPartsOptions {
     readonly keyValueService: KeyValueService;
     readonly fleet: Fleet;
+    /** Base URL of this router's operator interface, by which commands find the holder. */
+    readonly operatorsAddress: string;
     readonly registry: BackendServerRegistry;
     readonly configurations: ConfigurationSource;
     readonly connections: BackendServerConnections;
@@ -110,7 +112,7 @@
         // The process, not the router's name, holds the lease: one that starts again under its name is another holder.
         const lease = new PlacementLease(
             options.keyValueService,
-            { router: `${fleet.self.id}/${randomUUID()}`, address: fleet.self.address },
+            { router: `${fleet.self.id}/${randomUUID()}`, address: options.operatorsAddress },
             logger,
             metrics,
         );
--- a/src/process/service-directory/service-directory.ts
+++ b/src/process/service-directory/service-directory.ts
@@ -30,6 +30,16 @@
     instancesOf(service: string): readonly ServiceVm[] {
         return this.services.get(service) ?? [];
     }
+
+    /** The VMs of the service that the given VM runs, itself included; undefined if it runs none. */
+    poolOf(vm: string): readonly string[] | undefined {
+        for (const vms of this.services.values()) {
+            if (vms.some(each => each.id === vm)) {
+                return vms.map(each => each.id);
+            }
+        }
+        return undefined;
+    }
 }
 
 function toServiceVm(entry: VmEntry): ServiceVm {
--- a/src/request/answer/answer-run.ts
+++ b/src/request/answer/answer-run.ts
@@ -267,14 +267,13 @@
         const id = randomUUID();
         this.attempts++;
         this.awaitsFirstToken = true;
-        logger.decision({
-            kind: this.attempts === 1 ? "pipeline" : "recovery",
-            chosen: plan.stages.map(stage => stage.backendServer).join(">"),
-            over: choice.considered,
-            reason: choice.reason,
-            configurationVersion: this.request.configuration.version,
+        // The chooser has written the decision's line; this one ties the plan to its attempt.
+        logger.debug("attempt started", {
             requestId: this.request.requestId,
-            fields: { attemptId: id, planId: plan.id, position: this.generated.length },
+            attemptId: id,
+            planId: plan.id,
+            attempt: this.attempts,
+            position: this.generated.length,
         });
         const connection = connections.get(first.backendServer, first.address);
         const position = this.dependencies.recovery === RecoveryStrategy.restart ? 0 : this.generated.length;
--- a/src/request/answer/fault-attribution.ts
+++ b/src/request/answer/fault-attribution.ts
@@ -1,10 +1,14 @@
 /** Finds out which backend servers are at fault for a failed attempt, and tells outlier ejection and admission. */
+import type { FailureFrame } from "../../domain/engine-protocol.js";
 import { type AttemptFailure, AttemptFailureKind } from "./attempt-failure.js";
 import { exonerationMilliseconds, probeTimeoutMilliseconds } from "./constants.js";
 import type { CurrentAttempt } from "./current-attempt.js";
 import type { AnswerDependencies } from "./dependencies.js";
 import type { RecoveryState } from "./recovery-state.js";
 
+/** An engine's reason for a stage that does not answer it. */
+const stageUnreachable: FailureFrame["reason"] = "stage-unreachable";
+
 export class FaultAttribution {
     /** Backend servers to which a silent connection was made anew. */
     private readonly reopened = new Set<string>();
@@ -28,6 +32,10 @@
                 else if (failure.reason === "overloaded") {
                     this.dependencies.capacity?.overloaded();
                 }
+                else if (failure.reason === stageUnreachable) {
+                    // The refusal names the stage that could not be reached, which is lost to every other answer too.
+                    health.failed(failure.backendServer!, failure.reason);
+                }
                 return;
             case AttemptFailureKind.connectionSilent:
             case AttemptFailureKind.stalled:
