--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,16 +1,22 @@
 /**
  * Runs benchmarks: `npm run bench -- NAME` one of them, `npm run bench` all, each in a process of its own, so that one
- * that pauses the clock leaves the others alone. NAME.bench.ts holds the benchmark NAME.
+ * that pauses the clock leaves the others alone. NAME.bench.ts holds the benchmark NAME. A run of all writes
+ * docs/BENCHMARKS.md; `npm run bench -- --report FILE` writes it from lines that were printed before.
  */
 import { spawnSync } from "node:child_process";
-import { readdir } from "node:fs/promises";
+import { readdir, readFile } from "node:fs/promises";
+import { availableParallelism } from "node:os";
 import { fileURLToPath } from "node:url";
 import type { Benchmark } from "./figures.js";
 import { formatFigure, holds } from "./figures.js";
+import { parseFigureLines, writeReport } from "./report.js";
 
 const suffix = ".bench.js";
 const exitFailure = 1;
 const exitUsage = 2;
+/** One benchmark ends within 50 s; what hangs is ended. */
+const childTimeoutMilliseconds = 90_000;
+const reportOption = "--report";
 
 async function listNames(): Promise<string[]> {
     const files = await readdir(new URL(".", import.meta.url));
@@ -26,16 +32,40 @@
     return figures.length > 0 && figures.every(holds) ? 0 : exitFailure;
 }
 
-function runAll(names: readonly string[]): number {
+async function runAll(names: readonly string[], writesReport: boolean): Promise<number> {
     let exitCode = 0;
+    let printed = "";
     for (const name of names) {
-        const result = spawnSync(process.execPath, [fileURLToPath(import.meta.url), name], { stdio: "inherit" });
+        const result = spawnSync(process.execPath, [fileURLToPath(import.meta.url), name], {
+            stdio: ["ignore", "pipe", "inherit"],
+            encoding: "utf8",
+            timeout: childTimeoutMilliseconds,
+        });
+        process.stdout.write(result.stdout);
+        printed += result.stdout;
         exitCode = result.status === 0 ? exitCode : exitFailure;
     }
+    if (writesReport) {
+        await writeReport(parseFigureLines(printed), describeMachine());
+    }
     return exitCode;
 }
 
+/** Writes the page from lines that were printed before. */
+async function reportFrom(file: string): Promise<number> {
+    await writeReport(parseFigureLines(await readFile(file, "utf8")), describeMachine());
+    return 0;
+}
+
+function describeMachine(): string {
+    return `Node ${process.version}, ${availableParallelism()} cores`;
+}
+
 async function main(names: readonly string[]): Promise<number> {
+    const [first, file] = names;
+    if (first === reportOption && file !== undefined) {
+        return reportFrom(file);
+    }
     const known = await listNames();
     const unknown = names.filter(name => !known.includes(name));
     if (unknown.length > 0) {
@@ -43,7 +73,9 @@
         return exitUsage;
     }
     const [only] = names;
-    return names.length === 1 && only !== undefined ? runOne(only) : runAll(names.length === 0 ? known : names);
+    return names.length === 1 && only !== undefined
+        ? runOne(only)
+        : runAll(names.length === 0 ? known : names, names.length === 0);
 }
 
 process.exit(await main(process.argv.slice(2)));
--- a/bench/soak.bench.ts
+++ b/bench/soak.bench.ts
@@ -11,7 +11,7 @@
 import { atLeast, atMost, type Benchmark, type Figure } from "./figures.js";
 import { account } from "./soak/accounting.js";
 import { Callers } from "./soak/callers.js";
-import { FleetOfRouters, pushSheet } from "./soak/fleet-of-routers.js";
+import { FleetOfRouters, pushSheet } from "./support/fleet-of-routers.js";
 
 const routerTotal = 15;
 const backendServerTotal = 40;
--- a/bench/soak/accounting.ts
+++ b/bench/soak/accounting.ts
@@ -1,8 +1,8 @@
 /** Compares what callers saw with the stand-ins' own records. */
 import { expectedAnswer } from "../../src/stand-ins/backend-server/index.js";
 import type { StandInFleet } from "../../src/stand-ins/fleet/stand-in-fleet.js";
+import type { RunningRouter } from "../support/fleet-of-routers.js";
 import type { SeenBooking, SeenChat } from "./callers.js";
-import type { RunningRouter } from "./fleet-of-routers.js";
 
 const okStatus = 200;
 const createdStatus = 201;
--- a/bench/soak/callers.ts
+++ b/bench/soak/callers.ts
@@ -2,7 +2,7 @@
 import { randomUUID } from "node:crypto";
 import { Agent, request } from "undici";
 import { randomInteger, type RandomSource } from "../../src/common/random.js";
-import type { RunningRouter } from "./fleet-of-routers.js";
+import type { RunningRouter } from "../support/fleet-of-routers.js";
 
 const customerKeys = ["demo-kewdale-weighbridge", "demo-bibra-lake", "demo-export-desk"];
 const routes = ["grade-report", "contamination-summary"];
--- a/bench/soak/fleet-of-routers.ts
+++ b/bench/support/fleet-of-routers.ts
@@ -1,4 +1,4 @@
-/** The routers of the soak: real objects on loopback that find each other through seeds and the platform's list. */
+/** Routers of a benchmark: real objects on loopback that find each other through seeds and the platform's list. */
 import { randomUUID } from "node:crypto";
 import { SilentLogger } from "../../src/common/logger.js";
 import { SilentMetrics } from "../../src/common/metrics.js";
@@ -27,12 +27,12 @@
 
     constructor(private readonly standIns: StandInFleet, private readonly locations: readonly Location[]) {}
 
-    /** Starts one more router. */
-    async add(): Promise<RunningRouter> {
+    /** Starts one more router, on the given way to the platform or the usual one. */
+    async add(platformAddress = this.standIns.platformServer.address): Promise<RunningRouter> {
         const id = `router-${++this.started}`;
         const location = this.locations[this.started % this.locations.length]!;
         const router = await Router.create({
-            settings: this.settings(id, location),
+            settings: this.settings(id, location, platformAddress),
             logger: new SilentLogger(),
             metrics: new SilentMetrics(),
         });
@@ -66,8 +66,7 @@
         await Promise.all(this.running.map(each => each.router.stop()));
     }
 
-    private settings(id: string, location: Location) {
-        const platform = this.standIns.platformServer.address;
+    private settings(id: string, location: Location, platform: string) {
         const [seed] = this.running;
         return parseSettings(
             JSON.stringify({
--- a/src/connection/router/peer-client.ts
+++ b/src/connection/router/peer-client.ts
@@ -89,8 +89,10 @@
     }
 
     forget(address: string): void {
-        this.links.get(address)?.sessions.abort();
+        const link = this.links.get(address);
         this.links.delete(address);
+        // Not from within a callback of the session itself, which Node 20 does not always survive.
+        setImmediate(() => link?.sessions.abort());
     }
 
     keep(addresses: ReadonlySet<string>): void {
--- a/src/connection/router/peer-server.ts
+++ b/src/connection/router/peer-server.ts
@@ -11,6 +11,7 @@
     type ServerHttp2Session,
 } from "node:http2";
 import { type AddressInfo, isIPv4 } from "node:net";
+import { delay } from "../../common/clock.js";
 import type { Managed } from "../../common/life-cycle.js";
 import type { LedgerOperation, LedgerResult } from "../../domain/booking-ledger.js";
 import { PeerPlaintextError } from "../../errors/index.js";
@@ -25,6 +26,9 @@
 /** Carries out an operation of the booking ledger here, without handing it on. */
 export type BookingHandler = (operation: LedgerOperation, timeoutMilliseconds: number) => Promise<LedgerResult>;
 
+/** Time in which calls under way may end before their connections are cut. */
+const closeTimeoutMilliseconds = 500;
+
 export interface PeerServerOptions {
     readonly host: string;
     /** 0 takes any free port. */
@@ -82,9 +86,10 @@
     async stop(): Promise<void> {
         this.removeListener();
         const closed = new Promise<void>(resolve => this.server.close(() => resolve()));
-        for (const session of this.sessions) {
-            session.destroy();
-        }
+        // A session that is destroyed while it still has streams can corrupt the memory of Node 20, so it is closed first.
+        this.sessions.forEach(session => session.close());
+        await Promise.race([closed, delay(closeTimeoutMilliseconds)]);
+        this.sessions.forEach(session => session.destroy());
         await closed;
     }
 
--- a/src/daemon/operator-endpoints.ts
+++ b/src/daemon/operator-endpoints.ts
@@ -15,7 +15,7 @@
     readonly drain: DrainController;
     readonly chooser: PipelineChooser;
     readonly callersAddress: () => string;
-    readonly platformReachable: () => boolean;
+    readonly platformReachable: () => Promise<boolean>;
     readonly backendServers: () => readonly BackendServerStatus[];
     readonly placement: () => Promise<PlacementStatus>;
     /** Called once the drain was asked for; the process ends after it. */
@@ -28,14 +28,14 @@
 
 export function createOperatorEndpoints(parts: OperatorEndpointParts): OperatorEndpoint[] {
     return [
-        { method: "GET", path: "/operator/status", handle: async () => readStatus(parts) },
+        { method: "GET", path: "/operator/status", handle: () => readStatus(parts) },
         { method: "POST", path: "/operator/drain", handle: async () => startDrain(parts) },
         { method: "GET", path: "/operator/explain", handle: async call => explain(parts, call.query) },
         { method: "GET", path: "/operator/placement", handle: () => parts.placement() },
     ];
 }
 
-function readStatus(parts: OperatorEndpointParts): RouterStatus {
+async function readStatus(parts: OperatorEndpointParts): Promise<RouterStatus> {
     const { self } = parts.fleet;
     return {
         router: {
@@ -47,7 +47,7 @@
             requestsInFlight: parts.drain.requestsInFlight,
             callersAddress: parts.callersAddress(),
         },
-        platformReachable: parts.platformReachable(),
+        platformReachable: await parts.platformReachable(),
         routers: parts.fleet.members().map(member => ({
             id: member.id,
             availabilityZone: member.location.availabilityZone,
--- a/src/daemon/router.ts
+++ b/src/daemon/router.ts
@@ -4,11 +4,11 @@
 import type { Metrics } from "../common/metrics.js";
 import { type RandomSource, SystemRandom } from "../common/random.js";
 import type { ConfigurationSource } from "../domain/configuration.js";
-import type { VmList } from "../domain/platform.js";
+import type { KeyValueService, VmList } from "../domain/platform.js";
 import { ConfigurationStore, isPlatformWatcher } from "../process/configuration/index.js";
 import { CustomerLimits } from "../process/customer-limits/customer-limits.js";
 import { DrainController } from "../process/drain/drain-controller.js";
-import { HttpListener } from "../process/http/http-listener.js";
+import { HttpListener, type ListenerCertificates } from "../process/http/http-listener.js";
 import { OperatorHandler } from "../process/operator/operator-handler.js";
 import { buildPlacementStatus } from "../process/placement/placement-status.js";
 import { HttpKeyValueService, HttpPlatformClient, HttpVmList } from "../process/platform/index.js";
@@ -26,6 +26,7 @@
 import { BackendServerParts } from "./backend-servers.js";
 import { BookingParts } from "./bookings.js";
 import { CurrentPipelineChooser } from "./current-pipeline-chooser.js";
+import { readListenerCertificates } from "./listener-certificates.js";
 import { createOperatorEndpoints } from "./operator-endpoints.js";
 import { PeerParts } from "./peers.js";
 import { PlacementParts } from "./placement.js";
@@ -45,6 +46,8 @@
     readonly vmListClient: HttpPlatformClient;
     readonly vmList: VmList;
     readonly peers: PeerParts;
+    /** Undefined when the balancer ends TLS. */
+    readonly callerCertificates: ListenerCertificates | undefined;
 }
 
 const operatorRequestTimeoutMilliseconds = 10_000;
@@ -52,6 +55,9 @@
 /** Tokens under way at first; the limit then follows what backend servers do. */
 const initialTokenLimit = 100_000;
 
+/** Read to see whether the platform answers; it need not exist. */
+const reachabilityKey = "pomelostall/reachable";
+
 /** A whole router. */
 export class Router {
     readonly drain: DrainController;
@@ -174,6 +180,7 @@
             requestTimeoutMilliseconds: settings.callers.headersTimeoutMilliseconds
                 + settings.callers.bodyTimeoutMilliseconds,
             maximumConnections: settings.callers.maximumConnections,
+            certificates: shared.callerCertificates,
         }, handler.listener);
         const placement = new PlacementParts({
             keyValueService,
@@ -192,7 +199,7 @@
             drain: this.drain,
             chooser,
             callersAddress: () => this.callers.address,
-            platformReachable: () => true,
+            platformReachable: () => isReachable(keyValueService, settings.platform.timeoutMilliseconds),
             backendServers: () => backendServers.status(),
             placement: () => buildPlacementStatus(placement.holder),
             requestStop: () => void this.stop(),
@@ -245,9 +252,11 @@
         const random = new SystemRandom();
         const vmListClient = new HttpPlatformClient(settings.platform.vmListAddresses);
         const vmList = new HttpVmList(vmListClient);
+        const { tls } = settings.callers;
+        const callerCertificates = tls === undefined ? undefined : await readListenerCertificates(tls);
         const peers = await PeerParts.listen({ settings, vmList, random, logger, metrics });
         const keyValueClient = new HttpPlatformClient(settings.platform.keyValueAddresses);
-        return new Router(dependencies, { random, keyValueClient, vmListClient, vmList, peers });
+        return new Router(dependencies, { random, keyValueClient, vmListClient, vmList, peers, callerCertificates });
     }
 
     /** Base URL for callers; known after start. */
@@ -281,3 +290,14 @@
         this.resolveStopped();
     }
 }
+
+/** Whether the platform's key-value service answers now. */
+async function isReachable(keyValueService: KeyValueService, timeoutMilliseconds: number): Promise<boolean> {
+    try {
+        await keyValueService.get(reachabilityKey, timeoutMilliseconds);
+        return true;
+    }
+    catch {
+        return false;
+    }
+}
--- a/src/process/settings/schema.ts
+++ b/src/process/settings/schema.ts
@@ -21,6 +21,11 @@
     ),
 }).describe("Certificates. Files are read again when their content changes, without a restart.");
 
+const serverTls = z.strictObject({
+    certificateFile: z.string().min(1).describe("PEM file with the certificate chain that callers see."),
+    keyFile: z.string().min(1).describe("PEM file with the private key of the certificate."),
+}).describe("Certificate for callers, read at the start.");
+
 const router = z.strictObject({
     id: z.string().min(1).max(64).describe("Name of this router; it must be unique in the fleet."),
     region: z.string().min(1).describe("Region that this VM stands in."),
@@ -35,7 +40,7 @@
     bodyTimeoutMilliseconds: milliseconds.default(30_000).describe("Time in which a caller must send its whole body."),
     maximumConnections: z.int().min(1).default(20_000).describe("Open connections from callers at the same time."),
     maximumTimeoutMilliseconds: milliseconds.default(600_000).describe("Longest deadline that a caller may ask for."),
-    tls: tls.optional().describe("Certificates, if this process ends TLS itself. The balancer does otherwise."),
+    tls: serverTls.optional().describe("Certificate, if this process ends TLS itself. The balancer does otherwise."),
 }).describe("The interface for callers.");
 
 const operators = z.strictObject({
--- /dev/null
+++ b/test/process/operator/operator-handler.test.ts
@@ -0,0 +1,60 @@
+import { afterEach, beforeEach, describe, expect, jest, test } from "@jest/globals";
+import { createServer, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import { SilentLogger } from "../../../src/common/logger.js";
+import { NotFoundError } from "../../../src/errors/index.js";
+import { OperatorHandler } from "../../../src/process/operator/operator-handler.js";
+import { hashKey } from "../../../src/version/customer-directory.js";
+
+let server: Server;
+
+async function start(credentialHash: string | undefined): Promise<string> {
+    const handler = new OperatorHandler(
+        [
+            { method: "GET", path: "/operator/echo", handle: async call => ({ name: call.query.get("name") }) },
+            { method: "POST", path: "/operator/echo", handle: async call => call.body },
+            {
+                method: "GET",
+                path: "/operator/none",
+                handle: () => Promise.reject(new NotFoundError("There is nothing.")),
+            },
+        ],
+        credentialHash,
+        new SilentLogger(),
+    );
+    server = createServer(handler.listener);
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    return `http://127.0.0.1:${(server.address() as AddressInfo).port}/operator`;
+}
+
+beforeEach(() => void jest.useRealTimers());
+afterEach(async () => {
+    server.closeAllConnections();
+    await new Promise(resolve => server.close(resolve));
+});
+
+describe("OperatorHandler", () => {
+    test("answers loopback without a credential when none is set", async () => {
+        const address = await start(undefined);
+        expect(await (await fetch(`${address}/echo?name=perth`)).json()).toEqual({ name: "perth" });
+        const posted = await fetch(`${address}/echo`, { method: "POST", body: `{"drain":true}` });
+        expect(await posted.json()).toEqual({ drain: true });
+    });
+
+    test("asks for the credential when one is set", async () => {
+        const address = await start(hashKey("secret"));
+        expect((await fetch(`${address}/echo`)).status).toBe(401);
+        expect((await fetch(`${address}/echo`, { headers: { authorization: "Bearer wrong" } })).status).toBe(401);
+        expect((await fetch(`${address}/echo`, { headers: { authorization: "Bearer secret" } })).status).toBe(200);
+    });
+
+    test("answers failures with their status, code and hint", async () => {
+        const address = await start(undefined);
+        const missing = await fetch(`${address}/none`);
+        expect([missing.status, await missing.json()]).toEqual([404, {
+            error: { code: "not-found", message: "There is nothing.", hint: expect.any(String) },
+        }]);
+        expect((await fetch(`${address}/unknown`)).status).toBe(400);
+        expect((await fetch(`${address}/echo`, { method: "POST", body: "{" })).status).toBe(400);
+    });
+});
