--- a/src/cli/commands/demo.ts
+++ b/src/cli/commands/demo.ts
@@ -2,12 +2,11 @@
 import { Command } from "commander";
 import { randomUUID } from "node:crypto";
 import { once } from "node:events";
-import { readFile } from "node:fs/promises";
 import { createLogger, LogFormat } from "../../common/logger.js";
 import { SilentMetrics } from "../../common/metrics.js";
+import { readTextFile } from "../../common/read-text-file.js";
 import { Router } from "../../daemon/router.js";
 import type { KeyValueService } from "../../domain/platform.js";
-import { UnreadableFileError } from "../../errors/index.js";
 import { PushService } from "../../process/configuration/index.js";
 import { parseSettings } from "../../process/settings/parse-settings.js";
 import { StandInFleet } from "../../stand-ins/fleet/stand-in-fleet.js";
@@ -27,7 +26,7 @@
 }
 
 async function runDemo(context: CommandContext, port: number): Promise<void> {
-    const sheet = await readSheet();
+    const sheet = await readTextFile(defaultSheet);
     const record = { version: 0, pushId: "", parent: 0, author: "demo", acceptedAt: "" };
     const locations = ["kewdale", "malaga", "bibra-lake"].map(availabilityZone => ({
         region: "perth",
@@ -61,15 +60,6 @@
     return accepted.version;
 }
 
-async function readSheet(): Promise<string> {
-    try {
-        return await readFile(defaultSheet, "utf8");
-    }
-    catch (error) {
-        throw new UnreadableFileError(defaultSheet.pathname, error);
-    }
-}
-
 function demoSettings(platformAddress: string, port: number) {
     return parseSettings(
         JSON.stringify({
--- a/src/cli/commands/stand-in.ts
+++ b/src/cli/commands/stand-in.ts
@@ -1,13 +1,13 @@
 /** `pomelostall stand-in platform | backend-server | service`: stand-ins as processes, to try a fleet by hand. */
 import { Command, InvalidArgumentError } from "commander";
 import { once } from "node:events";
-import { readFile } from "node:fs/promises";
 import { request } from "undici";
 import { SystemRandom } from "../../common/random.js";
+import { readTextFile } from "../../common/read-text-file.js";
 import type { Configuration } from "../../domain/configuration.js";
 import type { LayerRange } from "../../domain/layers.js";
 import type { VmEntry } from "../../domain/platform.js";
-import { InvalidCommandError, UnreadableFileError } from "../../errors/index.js";
+import { InvalidCommandError } from "../../errors/index.js";
 import { HttpStageNetwork, StandInBackendServer, WeightStore } from "../../stand-ins/backend-server/index.js";
 import { PlatformServer, StandInPlatform, standInVmsPath } from "../../stand-ins/platform/index.js";
 import { StandInService } from "../../stand-ins/service/index.js";
@@ -159,14 +159,8 @@
 }
 
 async function readConfiguration(file: string): Promise<Configuration> {
-    let sheet: string;
-    try {
-        sheet = await readFile(file, "utf8");
-    }
-    catch (error) {
-        throw new UnreadableFileError(file, error);
-    }
-    return buildConfiguration({ version: 1, pushId: "", parent: 0, author: "", acceptedAt: "" }, sheet);
+    const record = { version: 1, pushId: "", parent: 0, author: "", acceptedAt: "" };
+    return buildConfiguration(record, await readTextFile(file));
 }
 
 function untilStopped(): Promise<unknown> {
--- a/src/daemon/listener-certificates.ts
+++ b/src/daemon/listener-certificates.ts
@@ -1,6 +1,5 @@
 /** Reads the certificate that callers see. */
-import { readFile } from "node:fs/promises";
-import { UnreadableFileError } from "../errors/index.js";
+import { readTextFile } from "../common/read-text-file.js";
 import type { ListenerCertificates } from "../process/http/http-listener.js";
 
 export interface ListenerCertificateFiles {
@@ -10,15 +9,6 @@
 
 /** Rejects with an UnreadableFileError. */
 export async function readListenerCertificates(files: ListenerCertificateFiles): Promise<ListenerCertificates> {
-    const [certificate, key] = await Promise.all([readText(files.certificateFile), readText(files.keyFile)]);
+    const [certificate, key] = await Promise.all([readTextFile(files.certificateFile), readTextFile(files.keyFile)]);
     return { certificate, key };
 }
-
-async function readText(file: string): Promise<string> {
-    try {
-        return await readFile(file, "utf8");
-    }
-    catch (error) {
-        throw new UnreadableFileError(file, error);
-    }
-}
--- a/src/daemon/router.ts
+++ b/src/daemon/router.ts
@@ -6,30 +6,20 @@
 import type { ConfigurationSource } from "../domain/configuration.js";
 import type { KeyValueService, VmList } from "../domain/platform.js";
 import { ConfigurationStore, isPlatformWatcher } from "../process/configuration/index.js";
-import { CustomerLimits } from "../process/customer-limits/customer-limits.js";
 import { DrainController } from "../process/drain/drain-controller.js";
 import { HttpListener, type ListenerCertificates } from "../process/http/http-listener.js";
 import { OperatorHandler } from "../process/operator/operator-handler.js";
 import { buildPlacementStatus } from "../process/placement/placement-status.js";
 import { HttpKeyValueService, HttpPlatformClient, HttpVmList } from "../process/platform/index.js";
-import { TokenRetryBudgets } from "../process/retry-budgets/token-retry-budgets.js";
 import type { RouterSettings } from "../process/settings/schema.js";
-import { AdaptiveTokenLimit } from "../request/admission/adaptive-token-limit.js";
-import { FairAdmission } from "../request/admission/fair-admission.js";
-import { PipelineAnswerService } from "../request/answer/pipeline-answer-service.js";
-import { ChatHandler } from "../request/chat/chat-handler.js";
-import { CallerHandler } from "../request/http/caller-handler.js";
-import { ModelsHandler } from "../request/models/models-handler.js";
-import { ServiceCaller } from "../request/service/service-caller.js";
-import { ServiceHandler } from "../request/service/service-handler.js";
 import { buildConfiguration, createEmptyConfiguration } from "../version/sheet/index.js";
 import { BackendServerParts } from "./backend-servers.js";
-import { BookingParts } from "./bookings.js";
 import { CurrentPipelineChooser } from "./current-pipeline-chooser.js";
 import { readListenerCertificates } from "./listener-certificates.js";
 import { createOperatorEndpoints } from "./operator-endpoints.js";
 import { PeerParts } from "./peers.js";
 import { PlacementParts } from "./placement.js";
+import { RequestPath } from "./request-path.js";
 
 export interface RouterDependencies {
     readonly settings: RouterSettings;
@@ -52,8 +42,6 @@
 
 const operatorRequestTimeoutMilliseconds = 10_000;
 const operatorConnections = 100;
-/** Tokens under way at first; the limit then follows what backend servers do. */
-const initialTokenLimit = 100_000;
 
 /** Read to see whether the platform answers; it need not exist. */
 const reachabilityKey = "pomelostall/reachable";
@@ -111,67 +99,18 @@
             random,
             logger: logger.withLabel("pipeline-choice"),
         });
-        const tokenLimit = new AdaptiveTokenLimit(initialTokenLimit, metrics);
-        const retryBudgets = new TokenRetryBudgets();
-        const answers = new PipelineAnswerService({
-            chooser,
-            connections: backendServers.connections,
-            ledger: backendServers.ledger,
-            health: backendServers.health,
-            retryBudgets,
-            capacity: tokenLimit,
-            random,
-            logger: logger.withLabel("answers"),
-            metrics,
-        });
-        const limits = new CustomerLimits(fleet);
-        const admission = new FairAdmission({ limits, tokenLimit, logger: logger.withLabel("admission"), metrics });
-        const bodyLimits = {
-            maximumBytes: settings.callers.maximumBodyBytes,
-            timeoutMilliseconds: settings.callers.bodyTimeoutMilliseconds,
-        };
-        const chat = new ChatHandler(admission, answers, metrics, {
-            bodyLimits,
-            maximumTimeoutMilliseconds: settings.callers.maximumTimeoutMilliseconds,
-        });
-        const models = new ModelsHandler();
-        const bookings = new BookingParts({
+        const requestPath = new RequestPath({
             settings,
+            configurations,
+            drain: this.drain,
             keyValueService,
-            fleet,
-            peers: peers.ledger,
-            logger,
-            metrics,
-        });
-        peers.serveBookings((operation, timeout) => bookings.ledger.submitHere(operation, timeout));
-        const serviceCaller = new ServiceCaller({
-            instances: backendServers.services,
-            own: fleet.self.location,
-            topology: () => configurations.current.topology,
-            health: backendServers.health,
-            retryBudgets,
+            peers,
+            backendServers,
+            chooser,
             random,
-            logger: logger.withLabel("services"),
+            logger,
             metrics,
         });
-        const services = new ServiceHandler(serviceCaller, bookings.service, {
-            bodyLimits,
-            maximumTimeoutMilliseconds: settings.callers.maximumTimeoutMilliseconds,
-            maximumAnswerBytes: settings.callers.maximumBodyBytes,
-        });
-        const handler = new CallerHandler(
-            configurations,
-            this.drain,
-            {
-                chat: exchange => chat.handle(exchange),
-                listModels: exchange => models.list(exchange),
-                retrieveModel: (exchange, name) => models.retrieve(exchange, name),
-                service: (exchange, name, path) => services.handle(exchange, name, path),
-            },
-            () => this.drain.ready && configurations.current.version > 0,
-            metrics,
-            logger.withLabel("callers"),
-        );
         this.callers = new HttpListener({
             name: "callers",
             host: settings.callers.host,
@@ -181,7 +120,7 @@
                 + settings.callers.bodyTimeoutMilliseconds,
             maximumConnections: settings.callers.maximumConnections,
             certificates: shared.callerCertificates,
-        }, handler.listener);
+        }, requestPath.handler.listener);
         const placement = new PlacementParts({
             keyValueService,
             fleet,
@@ -230,14 +169,7 @@
             stop: async () => backendServers.connections.close(),
         });
         this.lifeCycle.add(backendServers.registry);
-        this.lifeCycle.add(limits);
-        this.lifeCycle.add(bookings.ledger);
-        this.lifeCycle.add(bookings.outcomes);
-        this.lifeCycle.add({
-            name: "service connections",
-            start: async () => undefined,
-            stop: () => serviceCaller.close(),
-        });
+        requestPath.addTo(this.lifeCycle);
         if (settings.placement.enabled) {
             this.lifeCycle.add(placement.observer);
             this.lifeCycle.add(placement.holder);
--- a/src/daemon/run-router.ts
+++ b/src/daemon/run-router.ts
@@ -1,22 +1,13 @@
 /** Runs a router as a process: starts it from its settings and drains it on SIGTERM or SIGINT. */
-import { readFile } from "node:fs/promises";
 import { createLogger } from "../common/logger.js";
 import { type Metrics, SilentMetrics } from "../common/metrics.js";
-import { UnreadableFileError } from "../errors/index.js";
+import { readTextFile } from "../common/read-text-file.js";
 import { StatsdMetrics } from "../process/metrics/statsd-metrics.js";
 import type { RouterSettings } from "../process/settings/schema.js";
 import { Router } from "./router.js";
 
 async function readCredential(file: string | undefined): Promise<string | undefined> {
-    if (file === undefined) {
-        return undefined;
-    }
-    try {
-        return (await readFile(file, "utf8")).trim();
-    }
-    catch (error) {
-        throw new UnreadableFileError(file, error);
-    }
+    return file === undefined ? undefined : (await readTextFile(file)).trim();
 }
 
 /** Resolves after the router has drained and stopped. */
--- a/src/process/settings/parse-settings.ts
+++ b/src/process/settings/parse-settings.ts
@@ -1,8 +1,8 @@
 /** Reads a settings file: JSON with comments, checked against the schema, with every fault reported at once. */
 import { findNodeAtLocation, type Node, type ParseError, parseTree, printParseErrorCode } from "jsonc-parser";
 import { getNodeValue } from "jsonc-parser";
-import { readFile } from "node:fs/promises";
-import { InvalidSettingsError, type SettingsFault, UnreadableFileError } from "../../errors/index.js";
+import { readTextFile } from "../../common/read-text-file.js";
+import { InvalidSettingsError, type SettingsFault } from "../../errors/index.js";
 import { type RouterSettings, routerSettingsSchema } from "./schema.js";
 
 const maximumFoundCharacters = 60;
@@ -17,14 +17,7 @@
 
 /** Reads and checks a file. Throws UnreadableFileError or InvalidSettingsError. */
 export async function readSettings(file: string): Promise<RouterSettings> {
-    let text: string;
-    try {
-        text = await readFile(file, "utf8");
-    }
-    catch (error) {
-        throw new UnreadableFileError(file, error);
-    }
-    return parseSettings(text, file);
+    return parseSettings(await readTextFile(file), file);
 }
 
 /** Checks a text. Throws InvalidSettingsError with every fault. */
--- a/test/connection/router/peers.test.ts
+++ b/test/connection/router/peers.test.ts
@@ -8,13 +8,14 @@
 import { SilentMetrics } from "../../../src/common/metrics.js";
 import { SeededRandom } from "../../../src/common/random.js";
 import { decodeGossip, decodeState, encodeGossip, encodeState } from "../../../src/connection/router/codec.js";
-import { CertificateSource, PeerClient, PeerServer } from "../../../src/connection/router/index.js";
+import { CertificateSource, PeerClient, PeerLedger, PeerServer } from "../../../src/connection/router/index.js";
 import { RouterState } from "../../../src/domain/fleet.js";
 import { CertificateError, PeerPlaintextError, PeerUnreachableError } from "../../../src/errors/index.js";
 import { type Delta, Membership, PeerVersions } from "../../../src/process/membership/index.js";
 import { FixedVmList } from "../../support/routers.js";
 
 const loopback = "127.0.0.1";
+const callMilliseconds = 10_000;
 let directory = "";
 let stops: (() => Promise<void>)[] = [];
 
@@ -103,6 +104,23 @@
 }
 
 describe("links between routers", () => {
+    test("an operation of the booking ledger reaches the router that keeps one, and no other", async () => {
+        const first = await startRouter("a", []);
+        const second = await startRouter("b", [first.server.address]);
+        await until(() => aliveCount(second.membership) === 2);
+        const ledger = new PeerLedger(second.membership, second.client);
+        const lookup = { type: "lookup", key: "00" } as const;
+        await expect(ledger.submit("a", lookup, callMilliseconds)).rejects.toBeInstanceOf(PeerUnreachableError);
+        await expect(ledger.submit("unknown", lookup, callMilliseconds)).rejects.toBeInstanceOf(PeerUnreachableError);
+        const received: unknown[] = [];
+        first.server.serveBookings(async operation => {
+            received.push(operation);
+            return { type: "found", record: undefined };
+        });
+        expect(await ledger.submit("a", lookup, callMilliseconds)).toEqual({ type: "found" });
+        expect(received).toEqual([lookup]);
+    });
+
     test.each([true, false])("three routers join, read a version and see a death (TLS: %p)", async tls => {
         const sources = await Promise.all(
             ["a", "b", "c"].map(async name =>
