--- a/test/end-to-end/router.test.ts
+++ b/test/end-to-end/router.test.ts
@@ -1,5 +1,5 @@
 import { afterAll, beforeAll, describe, expect, jest, test } from "@jest/globals";
-import OpenAI, { type APIError, AuthenticationError, NotFoundError } from "openai";
+import OpenAI, { type APIError, AuthenticationError, InternalServerError, NotFoundError, RateLimitError } from "openai";
 import { expectedAnswer } from "../../src/stand-ins/backend-server/index.js";
 import { runCommand } from "../cli/run-command.js";
 import { customerKey, routeName, RouterFixture } from "./router-fixture.js";
@@ -55,11 +55,26 @@
         await expect(client.chat.completions.create({ model: "none", messages })).rejects.toBeInstanceOf(NotFoundError);
     });
 
-    test("gets an error with code and outcome for 503", async () => {
+    test("gets its own error class for 429, with Retry-After", async () => {
+        // mandurah's limit is far below what its requests ask for.
+        await fixture.pushChanged(sheet => sheet.replace(/^(customer,mandurah,.*),1,1000,4000,/m, "$1,1,1,1,"));
+        const limited = createClient("demo-mandurah");
+        const failure = await untilRejected(() =>
+            limited.chat.completions.create({ model: routeName, messages, max_tokens: answerTokens })
+        );
+        expect(failure).toBeInstanceOf(RateLimitError);
+        expect([failure.code, Number(failure.headers?.get("retry-after"))]).toEqual([
+            "limit-exceeded",
+            expect.any(Number),
+        ]);
+    });
+
+    test("gets its own error class for 503", async () => {
         await fixture.pushChanged(sheet => sheet.replace("grade-writer,2026-01,32", "grade-writer,2026-02,32"));
         const failure = await untilRejected(() =>
             client.chat.completions.create({ model: routeName, messages, max_tokens: 2 })
         );
+        expect(failure).toBeInstanceOf(InternalServerError);
         expect([failure.status, failure.code]).toEqual([503, "no-pipeline"]);
         await fixture.pushChanged(sheet => sheet);
         await untilAnswered(() => client.chat.completions.create({ model: routeName, messages, max_tokens: 2 }));
