End a router's process once it has stopped

Cause: two routers that were stopped together with the platform had drained and left, and stayed for over 30 s. Ruled out: a part that hangs at its stop (the life cycle reports those after 30 s) and one router alone (it ended).

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -19,3 +19,5 @@
 
 process.exitCode = ExitCode.ok;
 await runCommandLine(context, process.argv.slice(2));
+// A connection that a library leaves open must not keep a process that has stopped; what was written goes out first.
+process.stdout.write("", () => process.exit());
