--- a/test/end-to-end/router-fixture.ts
+++ b/test/end-to-end/router-fixture.ts
@@ -1,7 +1,7 @@
 /** A real router on loopback with stand-ins for everything around it. */
 import { randomUUID } from "node:crypto";
 import { readFile } from "node:fs/promises";
-import { SilentLogger } from "../../src/common/logger.js";
+import { createLogger, LogFormat } from "../../src/common/logger.js";
 import { SilentMetrics } from "../../src/common/metrics.js";
 import { Router } from "../../src/daemon/router.js";
 import { PushService } from "../../src/process/configuration/index.js";
@@ -16,7 +16,13 @@
 const locations = ["kewdale", "malaga", "bibra-lake"].map(availabilityZone => ({ region: "perth", availabilityZone }));
 
 export class RouterFixture {
-    private constructor(readonly fleet: StandInFleet, readonly router: Router, private readonly sheet: string) {}
+    private constructor(
+        readonly fleet: StandInFleet,
+        readonly router: Router,
+        private readonly sheet: string,
+        /** Every line that the router logged, at the most talkative level. */
+        readonly logLines: readonly string[],
+    ) {}
 
     /** Starts the stand-ins and a router, and waits until the sheet is in force and the backend servers are known. */
     static async start(): Promise<RouterFixture> {
@@ -30,13 +36,14 @@
         });
         await fleet.start();
         await pushSheet(fleet, sheet);
+        const logLines: string[] = [];
         const router = await Router.create({
             settings: fixtureSettings(fleet.platformServer.address),
-            logger: new SilentLogger(),
+            logger: createLogger(LogFormat.json, "debug", "router", line => void logLines.push(line)),
             metrics: new SilentMetrics(),
         });
         await router.start();
-        const fixture = new RouterFixture(fleet, router, sheet);
+        const fixture = new RouterFixture(fleet, router, sheet, logLines);
         await fixture.untilServing();
         return fixture;
     }
--- a/test/end-to-end/router.test.ts
+++ b/test/end-to-end/router.test.ts
@@ -125,6 +125,15 @@
     });
 });
 
+test("no key, request text or answer is in a log line", async () => {
+    await client.chat.completions.create({ model: routeName, messages, max_tokens: answerTokens });
+    const text = fixture.logLines.join("");
+    expect(text).toContain("decision pipeline-choice");
+    for (const secret of [customerKey, messages[0]!.content, whole.tokens[0]!, `{"truck":17}`]) {
+        expect(text).not.toContain(secret);
+    }
+});
+
 async function untilRejected(call: () => Promise<unknown>): Promise<APIError> {
     for (;;) {
         try {
