--- a/bench/configuration.bench.ts
+++ b/bench/configuration.bench.ts
@@ -3,6 +3,7 @@
  * under faults of the platform. Parted regions are tested on the paused clock only, in test/process/configuration.
  */
 import { readFile } from "node:fs/promises";
+import { delay } from "../src/common/clock.js";
 import { StandInFleet } from "../src/stand-ins/fleet/stand-in-fleet.js";
 import { Availability, PlatformServer, type StandInPlatform } from "../src/stand-ins/platform/index.js";
 import { createEmptyConfiguration } from "../src/version/sheet/index.js";
@@ -76,10 +77,6 @@
     },
 ];
 
-function wait(milliseconds: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, milliseconds));
-}
-
 /** Milliseconds from the start of a push until every router has the version, or infinity. */
 async function measurePush({ standIns, routers }: World, sheet: string): Promise<number> {
     const startedAt = performance.now();
@@ -88,7 +85,7 @@
         if (performance.now() - startedAt > giveUpMilliseconds) {
             return Number.POSITIVE_INFINITY;
         }
-        await wait(pollMilliseconds);
+        await delay(pollMilliseconds);
     }
     return performance.now() - startedAt;
 }
@@ -100,7 +97,7 @@
         times.push(await measurePush(world, sheet.replace("a truck waits", `push ${push}: a truck waits`)));
     }
     scenario.end(world);
-    await wait(settleMilliseconds);
+    await delay(settleMilliseconds);
     const name = `push to in force at all, ${scenario.name}`;
     return [
         { bench: "configuration", figure: `${name}, p50`, value: quantile(times, 0.5), unit: "ms" },
@@ -130,7 +127,7 @@
             const cut = routers.running.length % cutOffEvery === 1;
             await routers.add(cut ? cuttableServer.address : undefined);
         }
-        await wait(settleMilliseconds);
+        await delay(settleMilliseconds);
         const world: World = { standIns, routers, cuttable };
         const figures: Figure[] = [];
         for (const scenario of scenarios) {
--- a/bench/path.bench.ts
+++ b/bench/path.bench.ts
@@ -4,6 +4,7 @@
  * own. Bounds: a hundredth of 1.6 s to the first token, a twentieth of 78 ms between tokens, and four times a node's
  * share of 950,000 tokens a second over 360 nodes.
  */
+import { delay } from "../src/common/clock.js";
 import { atLeast, atMost, type Benchmark, type Figure, quantile } from "./figures.js";
 import { askChild, startChild, stopChild } from "./path/children.js";
 import type { EnginesReady, RouterReady, RouterUsage, ServerAddress } from "./path/messages.js";
@@ -45,15 +46,11 @@
     }
 }
 
-function wait(milliseconds: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, milliseconds));
-}
-
 async function measurePairs(router: StreamSource, servers: readonly ServerAddress[]) {
     const throughRouter: StreamTimes[] = [];
     const direct: StreamTimes[] = [];
     const load = new StreamLoad(router, backgroundStreams);
-    await wait(warmUpMilliseconds);
+    await delay(warmUpMilliseconds);
     for (let pair = 0; pair < pairTotal; pair++) {
         const server = servers[pair % servers.length]!;
         const [first, second] = await Promise.all([
@@ -108,11 +105,11 @@
 
 async function measureThroughput(router: StreamSource, usage: () => Promise<RouterUsage>): Promise<Figure[]> {
     const load = new StreamLoad(router, throughputStreams);
-    await wait(warmUpMilliseconds);
+    await delay(warmUpMilliseconds);
     const before = await usage();
     const tokensBefore = load.tokens;
     const startedAt = performance.now();
-    await wait(throughputMilliseconds);
+    await delay(throughputMilliseconds);
     const seconds = (performance.now() - startedAt) / 1000;
     const tokens = load.tokens - tokensBefore;
     const after = await usage();
--- a/bench/path/fixture.ts
+++ b/bench/path/fixture.ts
@@ -1,6 +1,6 @@
 /** What the processes of the `path` benchmark share: one model that a single backend server holds whole. */
-import { hashKey } from "../../src/version/customer-directory.js";
-import { buildConfiguration } from "../../src/version/sheet/index.js";
+import { hashKey } from "../../src/common/credentials.js";
+import { previewConfiguration } from "../../src/version/sheet/index.js";
 
 export const callerKey = "bench-key";
 export const routeName = "bench";
@@ -73,7 +73,7 @@
     "",
 ].join("\n");
 
-const configuration = buildConfiguration({ version: 1, pushId: "", parent: 0, author: "", acceptedAt: "" }, sheet);
+const configuration = previewConfiguration(sheet);
 
 export const model = configuration.models.get("bench-model")!;
 export const backendServerClass = configuration.backendServerClasses.get("bench-class")!;
--- a/bench/path/router-process.ts
+++ b/bench/path/router-process.ts
@@ -2,7 +2,7 @@
 import { SilentLogger } from "../../src/common/logger.js";
 import { SilentMetrics } from "../../src/common/metrics.js";
 import { Router } from "../../src/daemon/router.js";
-import { PushService } from "../../src/process/configuration/index.js";
+import { createSheetPushService } from "../../src/daemon/sheet-push.js";
 import { parseSettings } from "../../src/process/settings/parse-settings.js";
 import { PlatformServer, StandInPlatform } from "../../src/stand-ins/platform/index.js";
 import { backendServerClass, location, sheet } from "./fixture.js";
@@ -20,14 +20,7 @@
     state: "live",
     incarnation: 1,
 })));
-const pushService = new PushService({
-    keyValueService: platform,
-    check: () => undefined,
-    compare: () => [],
-    createPushId: () => "bench",
-    wallClock: () => new Date(),
-});
-await pushService.push({ sheet, author: "bench" });
+await createSheetPushService(platform).push({ sheet, author: "bench" });
 const platformServer = new PlatformServer(platform);
 await platformServer.start();
 const settings = parseSettings(
--- a/bench/soak.bench.ts
+++ b/bench/soak.bench.ts
@@ -3,11 +3,12 @@
  * At the end every request is accounted for against the stand-ins' own records. POMELOSTALL_SEED picks another seed.
  */
 import { readFile } from "node:fs/promises";
+import { delay } from "../src/common/clock.js";
 import { type RandomSource, SeededRandom, shuffle } from "../src/common/random.js";
 import { StandInFleet } from "../src/stand-ins/fleet/stand-in-fleet.js";
 import { Availability } from "../src/stand-ins/platform/index.js";
 import { ServiceFault } from "../src/stand-ins/service/index.js";
-import { buildConfiguration } from "../src/version/sheet/index.js";
+import { previewConfiguration } from "../src/version/sheet/index.js";
 import { atLeast, atMost, type Benchmark, type Figure } from "./figures.js";
 import { account } from "./soak/accounting.js";
 import { Callers } from "./soak/callers.js";
@@ -26,10 +27,6 @@
 const leastWholeShare = 0.9;
 const locations = ["kewdale", "malaga", "bibra-lake"].map(availabilityZone => ({ region: "perth", availabilityZone }));
 
-function wait(milliseconds: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, milliseconds));
-}
-
 /** Everything that runs in one soak. */
 class Soak {
     readonly routers: FleetOfRouters;
@@ -81,7 +78,7 @@
 
     private async interruptPlatform(): Promise<void> {
         this.standIns.platform.faults.availability = Availability.hanging;
-        await wait(platformOutageMilliseconds);
+        await delay(platformOutageMilliseconds);
         this.standIns.platform.faults.availability = Availability.up;
     }
 
@@ -105,10 +102,7 @@
 
 async function start(seed: number): Promise<Soak> {
     const sheet = await readFile("examples/haddow.csv", "utf8");
-    const configuration = buildConfiguration(
-        { version: 0, pushId: "", parent: 0, author: "", acceptedAt: "" },
-        sheet,
-    );
+    const configuration = previewConfiguration(sheet);
     const random = new SeededRandom(seed);
     const standIns = new StandInFleet({
         configuration,
@@ -129,11 +123,11 @@
 }
 
 async function runSoak(soak: Soak): Promise<void> {
-    await wait(settleMilliseconds);
+    await delay(settleMilliseconds);
     const chats = setInterval(() => soak.track(soak.callers.chat()), chatIntervalMilliseconds);
     const bookings = setInterval(() => soak.track(soak.callers.book()), bookingIntervalMilliseconds);
     for (const fault of soak.faults()) {
-        await Promise.all([fault(), wait(phaseMilliseconds)]);
+        await Promise.all([fault(), delay(phaseMilliseconds)]);
     }
     clearInterval(chats);
     clearInterval(bookings);
--- a/bench/support/fleet-of-routers.ts
+++ b/bench/support/fleet-of-routers.ts
@@ -1,14 +1,12 @@
 /** Routers of a benchmark: real objects on loopback that find each other through seeds and the platform's list. */
-import { randomUUID } from "node:crypto";
 import { SilentLogger } from "../../src/common/logger.js";
 import { SilentMetrics } from "../../src/common/metrics.js";
 import { Router } from "../../src/daemon/router.js";
+import { createSheetPushService } from "../../src/daemon/sheet-push.js";
 import type { VersionRecord } from "../../src/domain/configuration-record.js";
 import type { Location } from "../../src/domain/topology.js";
-import { PushService } from "../../src/process/configuration/index.js";
 import { parseSettings } from "../../src/process/settings/parse-settings.js";
 import type { StandInFleet } from "../../src/stand-ins/fleet/stand-in-fleet.js";
-import { diffSheets, parseSheet } from "../../src/version/sheet/index.js";
 
 const firstIncarnation = 1;
 
@@ -85,12 +83,5 @@
 
 /** Pushes a sheet as an operator does. */
 export async function pushSheet(standIns: StandInFleet, sheet: string, author: string): Promise<VersionRecord> {
-    const service = new PushService({
-        keyValueService: standIns.platform,
-        check: text => void parseSheet(text),
-        compare: diffSheets,
-        createPushId: randomUUID,
-        wallClock: () => new Date(),
-    });
-    return service.push({ sheet, author });
+    return createSheetPushService(standIns.platform).push({ sheet, author });
 }
--- a/src/cli/commands/demo.ts
+++ b/src/cli/commands/demo.ts
@@ -1,16 +1,14 @@
 /** `pomelostall demo`: a router with stand-ins for everything around it, in one process on loopback. */
 import { Command } from "commander";
-import { randomUUID } from "node:crypto";
 import { once } from "node:events";
 import { createLogger, LogFormat } from "../../common/logger.js";
 import { SilentMetrics } from "../../common/metrics.js";
 import { readTextFile } from "../../common/read-text-file.js";
 import { Router } from "../../daemon/router.js";
-import type { KeyValueService } from "../../domain/platform.js";
-import { PushService } from "../../process/configuration/index.js";
+import { createSheetPushService } from "../../daemon/sheet-push.js";
 import { parseSettings } from "../../process/settings/parse-settings.js";
 import { StandInFleet } from "../../stand-ins/fleet/stand-in-fleet.js";
-import { buildConfiguration, diffSheets, parseSheet } from "../../version/sheet/index.js";
+import { previewConfiguration } from "../../version/sheet/index.js";
 import type { CommandContext } from "../context.js";
 
 const defaultSheet = new URL("../../../../examples/haddow.csv", import.meta.url);
@@ -27,14 +25,13 @@
 
 async function runDemo(context: CommandContext, port: number): Promise<void> {
     const sheet = await readTextFile(defaultSheet);
-    const record = { version: 0, pushId: "", parent: 0, author: "demo", acceptedAt: "" };
     const locations = ["kewdale", "malaga", "bibra-lake"].map(availabilityZone => ({
         region: "perth",
         availabilityZone,
     }));
-    const fleet = new StandInFleet({ configuration: buildConfiguration(record, sheet), locations, seed: fleetSeed });
+    const fleet = new StandInFleet({ configuration: previewConfiguration(sheet), locations, seed: fleetSeed });
     await fleet.start();
-    const version = await pushSheet(fleet.platform, sheet);
+    const version = (await createSheetPushService(fleet.platform).push({ sheet, author: "demo" })).version;
     const router = await Router.create({
         settings: demoSettings(fleet.platformServer.address, port),
         logger: createLogger(LogFormat.pretty, "info", "router"),
@@ -48,18 +45,6 @@
     await fleet.stop();
 }
 
-async function pushSheet(keyValueService: KeyValueService, sheet: string): Promise<number> {
-    const service = new PushService({
-        keyValueService,
-        check: text => void parseSheet(text),
-        compare: diffSheets,
-        createPushId: () => randomUUID(),
-        wallClock: () => new Date(),
-    });
-    const accepted = await service.push({ sheet, author: "demo" });
-    return accepted.version;
-}
-
 function demoSettings(platformAddress: string, port: number) {
     return parseSettings(
         JSON.stringify({
--- a/src/cli/commands/sheet.ts
+++ b/src/cli/commands/sheet.ts
@@ -1,12 +1,12 @@
 /** `pomelostall sheet`: check, compare, push and look back at the operators' sheet. */
 import { Command, InvalidArgumentError, Option } from "commander";
-import { randomUUID } from "node:crypto";
 import { readFile } from "node:fs/promises";
 import { userInfo } from "node:os";
+import { createSheetPushService } from "../../daemon/sheet-push.js";
 import { PushConflictError, SheetFileError, SheetInvalidError } from "../../errors/index.js";
-import { PushService } from "../../process/configuration/index.js";
+import type { PushService } from "../../process/configuration/index.js";
 import { HttpKeyValueService, HttpPlatformClient } from "../../process/platform/index.js";
-import { diffSheets, parseSheet } from "../../version/sheet/index.js";
+import { parseSheet } from "../../version/sheet/index.js";
 import { type CommandContext, EnvironmentName, ExitCode } from "../context.js";
 import { OperatorFleetVersions } from "../fleet-versions.js";
 import { OperatorClient } from "../operator-client.js";
@@ -185,14 +185,10 @@
     const addresses = options.platform ?? context.environment[EnvironmentName.keyValueAddresses]
         ?? defaultPlatformAddress;
     const client = new HttpPlatformClient(addresses.split(","));
-    const service = new PushService({
-        keyValueService: new HttpKeyValueService(client),
-        check: sheet => void parseSheet(sheet),
-        compare: diffSheets,
-        fleetVersions: new OperatorFleetVersions(OperatorClient.fromContext(context, options.router)),
-        createPushId: randomUUID,
-        wallClock: () => new Date(),
-    });
+    const service = createSheetPushService(
+        new HttpKeyValueService(client),
+        new OperatorFleetVersions(OperatorClient.fromContext(context, options.router)),
+    );
     try {
         await act(service);
     }
--- a/src/cli/commands/stand-in.ts
+++ b/src/cli/commands/stand-in.ts
@@ -11,7 +11,7 @@
 import { HttpStageNetwork, StandInBackendServer, WeightStore } from "../../stand-ins/backend-server/index.js";
 import { PlatformServer, StandInPlatform, standInVmsPath } from "../../stand-ins/platform/index.js";
 import { StandInService } from "../../stand-ins/service/index.js";
-import { buildConfiguration } from "../../version/sheet/index.js";
+import { previewConfiguration } from "../../version/sheet/index.js";
 import type { CommandContext } from "../context.js";
 
 const millisecondsPerSecond = 1000;
@@ -159,8 +159,7 @@
 }
 
 async function readConfiguration(file: string): Promise<Configuration> {
-    const record = { version: 1, pushId: "", parent: 0, author: "", acceptedAt: "" };
-    return buildConfiguration(record, await readTextFile(file));
+    return previewConfiguration(await readTextFile(file));
 }
 
 function untilStopped(): Promise<unknown> {
--- a/src/common/life-cycle.ts
+++ b/src/common/life-cycle.ts
@@ -30,6 +30,11 @@
         this.parts.push(part);
     }
 
+    /** Adds something that has no start and must be closed. */
+    addClosing(name: string, close: () => Promise<void>): void {
+        this.add({ name, start: async () => undefined, stop: close });
+    }
+
     /** Starts every part; if one fails, those already started are stopped and the failure is thrown. */
     async start(): Promise<void> {
         for (const part of this.parts) {
--- a/src/daemon/backend-servers.ts
+++ b/src/daemon/backend-servers.ts
@@ -18,9 +18,7 @@
 import type { BackendServerHealth } from "../process/outlier-ejection/types.js";
 import { ServiceDirectory } from "../process/service-directory/service-directory.js";
 import type { RouterSettings } from "../process/settings/schema.js";
-
-/** How requests name the failure of a server that answers and makes no progress. */
-const stalledReason = "stalled";
+import { ReportingHealth } from "./reporting-health.js";
 
 export interface BackendServerPartsOptions {
     readonly settings: RouterSettings;
@@ -96,31 +94,6 @@
     }
 }
 
-/** Tells the registry of lost servers at once, beside the ejection that follows from several failures. */
-class ReportingHealth implements BackendServerHealth {
-    constructor(private readonly ejection: OutlierEjection, private readonly registry: BackendServerRegistry) {}
-
-    ejected(): ReadonlySet<string> {
-        return this.ejection.ejected();
-    }
-
-    succeeded(backendServer: string): void {
-        this.ejection.succeeded(backendServer);
-    }
-
-    /** A stalled server still answers, so that it is not reported as unreachable. */
-    failed(backendServer: string, reason: string): void {
-        this.ejection.failed(backendServer, reason);
-        if (reason !== stalledReason) {
-            this.registry.reportUnreachable(backendServer);
-        }
-    }
-
-    draining(backendServer: string): void {
-        this.ejection.draining(backendServer);
-    }
-}
-
 function connectionSettings(
     settings: RouterSettings,
     orderCredential: string | undefined,
--- a/src/daemon/bookings.ts
+++ b/src/daemon/bookings.ts
@@ -6,11 +6,9 @@
 import { type Fleet, type RouterMember, RouterState } from "../domain/fleet.js";
 import type { KeyValueService } from "../domain/platform.js";
 import { maximumAnswerBytes, OutcomeRecorder, ShardedLedger } from "../process/ledger/index.js";
-import type { RouterSettings } from "../process/settings/schema.js";
 import { BookingService } from "../request/booking/booking-service.js";
 
 export interface BookingPartsOptions {
-    readonly settings: RouterSettings;
     readonly keyValueService: KeyValueService;
     readonly fleet: Fleet;
     readonly peers?: LedgerPeers;
--- a/src/daemon/placement.ts
+++ b/src/daemon/placement.ts
@@ -6,7 +6,7 @@
 import type { RandomSource } from "../common/random.js";
 import type { BackendServerConnections } from "../domain/backend-connection.js";
 import type { BackendServerDescription } from "../domain/backend-server.js";
-import type { Configuration, ConfigurationSource, Customer, Route } from "../domain/configuration.js";
+import { type Configuration, type ConfigurationSource, type Customer, mayUse } from "../domain/configuration.js";
 import type { Fleet } from "../domain/fleet.js";
 import type { KeyValueService } from "../domain/platform.js";
 import type { BackendServerRegistry } from "../process/backend-servers/backend-server-registry.js";
@@ -63,7 +63,7 @@
 
     /** A customer's demand, spread evenly over the routes that it may use. */
     private demandOf(configuration: Configuration, customer: Customer): PlacementDemand[] {
-        const routes = [...configuration.routes.values()].filter(route => mayUse(route, customer));
+        const routes = [...configuration.routes.values()].filter(route => mayUse(route.customers, customer));
         const tokensPerSecond = Math.max(leastTokensPerSecond, this.fleet.fleetDemand(customer.name)) / routes.length;
         return routes.map(({ model, adapter }) => ({ model, adapter, customer: customer.name, tokensPerSecond }));
     }
@@ -84,10 +84,6 @@
     }
 }
 
-function mayUse(route: Route, customer: Customer): boolean {
-    return route.customers.length === 0 || route.customers.includes(customer.name);
-}
-
 export interface PlacementPartsOptions {
     readonly keyValueService: KeyValueService;
     readonly fleet: Fleet;
--- a/src/daemon/request-path.ts
+++ b/src/daemon/request-path.ts
@@ -59,17 +59,12 @@
         lifeCycle.add(this.limits);
         lifeCycle.add(this.bookings.ledger);
         lifeCycle.add(this.bookings.outcomes);
-        lifeCycle.add({
-            name: "service connections",
-            start: async () => undefined,
-            stop: () => this.serviceCaller.close(),
-        });
+        lifeCycle.addClosing("service connections", () => this.serviceCaller.close());
     }
 
     private createBookings(): BookingParts {
-        const { settings, keyValueService, peers, logger, metrics } = this.options;
+        const { keyValueService, peers, logger, metrics } = this.options;
         const bookings = new BookingParts({
-            settings,
             keyValueService,
             fleet: peers.membership,
             peers: peers.ledger,
--- a/src/daemon/router.ts
+++ b/src/daemon/router.ts
@@ -156,18 +156,11 @@
             requestTimeoutMilliseconds: operatorRequestTimeoutMilliseconds,
             maximumConnections: operatorConnections,
         }, operatorHandler.listener);
-        this.lifeCycle.add({
-            name: "platform clients",
-            start: async () => undefined,
-            stop: async () => void await Promise.all([keyValueClient.close(), vmListClient.close()]),
-        });
+        this.lifeCycle.addClosing("key-value client", () => keyValueClient.close());
+        this.lifeCycle.addClosing("client of the list of VMs", () => vmListClient.close());
         peers.addTo(this.lifeCycle);
         this.lifeCycle.add(configurations);
-        this.lifeCycle.add({
-            name: "backend server connections",
-            start: async () => undefined,
-            stop: async () => backendServers.connections.close(),
-        });
+        this.lifeCycle.addClosing("backend server connections", async () => backendServers.connections.close());
         this.lifeCycle.add(backendServers.registry);
         requestPath.addTo(this.lifeCycle);
         if (settings.placement.enabled) {
--- a/src/domain/configuration.ts
+++ b/src/domain/configuration.ts
@@ -63,6 +63,11 @@
     readonly weightStore: WeightStoreLimit;
 }
 
+/** Whether a list of customers, empty for all, holds the customer. */
+export function mayUse(customers: readonly string[], customer: Customer): boolean {
+    return customers.length === 0 || customers.includes(customer.name);
+}
+
 /** Gives the configuration in force, and tells of new ones. */
 export interface ConfigurationSource {
     readonly current: Configuration;
--- a/src/process/ledger/ledger-segment.ts
+++ b/src/process/ledger/ledger-segment.ts
@@ -1,16 +1,10 @@
 /** What lies in a shard's log: segments of entries, at first one for each batch, later merged. */
 import { gunzipSync, gzipSync } from "node:zlib";
-import type { BookingClaim, BookingOutcome } from "../../domain/booking-ledger.js";
+import type { LedgerOperation } from "../../domain/booking-ledger.js";
 import { LedgerCorruptError } from "../../errors/index.js";
 
-export type LedgerEntry =
-    | { readonly type: "claim"; readonly claim: BookingClaim; }
-    | {
-        readonly type: "outcome";
-        readonly key: string;
-        readonly claimId: string;
-        readonly outcome: BookingOutcome;
-    };
+/** An operation that is kept; a lookup leaves nothing. */
+export type LedgerEntry = Exclude<LedgerOperation, { type: "lookup"; }>;
 
 /** Consecutive batches; the key in the log is that of the last. */
 export interface LedgerSegment {
--- a/src/process/operator/operator-handler.ts
+++ b/src/process/operator/operator-handler.ts
@@ -1,7 +1,7 @@
 /** The interface for operators: JSON over HTTP, behind the operators' credential. */
-import { createHash, timingSafeEqual } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { text } from "node:stream/consumers";
+import { bearerKey, keyMatches } from "../../common/credentials.js";
 import type { Logger } from "../../common/logger.js";
 import { OperatorBadRequestError, OperatorUnauthorizedError, PomelostallError } from "../../errors/index.js";
 
@@ -19,7 +19,6 @@
 }
 
 const loopbackAddresses: ReadonlySet<string> = new Set(["127.0.0.1", "::1", "::ffff:127.0.0.1"]);
-const bearerPattern = /^Bearer (\S{1,512})$/i;
 
 export class OperatorHandler {
     constructor(
@@ -51,9 +50,7 @@
             }
             return;
         }
-        const credential = bearerPattern.exec(request.headers.authorization ?? "")?.[1] ?? "";
-        const actual = createHash("sha256").update(credential).digest();
-        if (!timingSafeEqual(actual, Buffer.from(this.credentialHash, "hex"))) {
+        if (!keyMatches(bearerKey(request.headers.authorization) ?? "", this.credentialHash)) {
             throw new OperatorUnauthorizedError();
         }
     }
--- a/src/process/service-directory/service-directory.ts
+++ b/src/process/service-directory/service-directory.ts
@@ -3,7 +3,7 @@
 import type { Location } from "../../domain/topology.js";
 
 /** A VM that runs a plain service. */
-export interface ServiceVm {
+export interface ServiceInstance {
     readonly id: string;
     /** Base URL by IP number. */
     readonly address: string;
@@ -11,15 +11,15 @@
 }
 
 export class ServiceDirectory {
-    private services: ReadonlyMap<string, readonly ServiceVm[]> = new Map();
+    private services: ReadonlyMap<string, readonly ServiceInstance[]> = new Map();
 
     /** Takes over a list; VMs that are leaving get no new calls. */
     applyList(entries: readonly VmEntry[]): void {
-        const services = new Map<string, ServiceVm[]>();
+        const services = new Map<string, ServiceInstance[]>();
         for (const entry of entries) {
             if (entry.kind === "service" && entry.state === "live") {
                 const vms = services.get(entry.className) ?? [];
-                vms.push(toServiceVm(entry));
+                vms.push(toServiceInstance(entry));
                 services.set(entry.className, vms);
             }
         }
@@ -27,7 +27,7 @@
     }
 
     /** The VMs that may get new calls. */
-    instancesOf(service: string): readonly ServiceVm[] {
+    instancesOf(service: string): readonly ServiceInstance[] {
         return this.services.get(service) ?? [];
     }
 
@@ -42,7 +42,7 @@
     }
 }
 
-function toServiceVm(entry: VmEntry): ServiceVm {
+function toServiceInstance(entry: VmEntry): ServiceInstance {
     const { id, address, region, availabilityZone } = entry;
     return { id, address, location: { region, availabilityZone } };
 }
--- a/src/request/chat/chat-handler.ts
+++ b/src/request/chat/chat-handler.ts
@@ -1,7 +1,7 @@
 /** POST /v1/chat/completions: parse, admit, answer. */
 import { monotonicNow } from "../../common/clock.js";
 import type { Metrics } from "../../common/metrics.js";
-import type { Configuration, Customer, Route } from "../../domain/configuration.js";
+import { type Configuration, type Customer, mayUse, type Route } from "../../domain/configuration.js";
 import type { ModelDescription } from "../../domain/model.js";
 import { estimatePromptTokens } from "../../domain/prefix-blocks.js";
 import { BadRequestError, NotFoundError } from "../../errors/index.js";
@@ -122,8 +122,3 @@
     }
     return route;
 }
-
-/** Whether a list of customers, empty for all, holds the customer. */
-export function mayUse(customers: readonly string[], customer: Customer): boolean {
-    return customers.length === 0 || customers.includes(customer.name);
-}
--- a/src/request/models/models-handler.ts
+++ b/src/request/models/models-handler.ts
@@ -1,6 +1,6 @@
 /** GET /v1/models: the routes that a customer may use. */
+import { mayUse } from "../../domain/configuration.js";
 import { NotFoundError } from "../../errors/index.js";
-import { mayUse } from "../chat/chat-handler.js";
 import { sendJson } from "../http/error-body.js";
 import type { CallerExchange } from "../http/types.js";
 
--- a/src/request/service/service-handler.ts
+++ b/src/request/service/service-handler.ts
@@ -4,11 +4,10 @@
  */
 import type { ServerResponse } from "node:http";
 import { pipeline } from "node:stream/promises";
-import type { PlainService } from "../../domain/configuration.js";
+import { mayUse, type PlainService } from "../../domain/configuration.js";
 import { BadRequestError, NotFoundError } from "../../errors/index.js";
 import type { BookingService } from "../booking/booking-service.js";
 import type { BookingAnswer, DispatchResult as BookingDispatchResult, ServiceAnswer } from "../booking/types.js";
-import { mayUse } from "../chat/chat-handler.js";
 import { requestDeadline } from "../http/deadline.js";
 import { toPomelostallError } from "../http/error-body.js";
 import { type BodyLimits, readBody } from "../http/read-body.js";
--- a/src/request/service/types.ts
+++ b/src/request/service/types.ts
@@ -1,15 +1,9 @@
 /** Calls to plain services. */
 import type { Readable } from "node:stream";
 import type { PlainService } from "../../domain/configuration.js";
-import type { Location } from "../../domain/topology.js";
+import type { ServiceInstance } from "../../process/service-directory/service-directory.js";
 
-/** A VM that runs a plain service. */
-export interface ServiceInstance {
-    readonly id: string;
-    /** Base URL by IP number. */
-    readonly address: string;
-    readonly location: Location;
-}
+export type { ServiceInstance };
 
 /** Knows the VMs of plain services. */
 export interface ServiceInstances {
--- a/src/version/customer-directory.ts
+++ b/src/version/customer-directory.ts
@@ -1,27 +1,8 @@
-/** Finds the customer of a key. Keys are known only by their SHA-256 and compared in constant time. */
-import { createHash, timingSafeEqual } from "node:crypto";
+/** Finds the customer of a key. */
+import { bearerKey, hashKey, keyMatches } from "../common/credentials.js";
 import type { Configuration, Customer } from "../domain/configuration.js";
 import { UnauthorizedError } from "../errors/index.js";
 
-const bearerPattern = /^Bearer ([^\s]{1,512})$/i;
-
-/** SHA-256 of a key, in hexadecimal, as the sheet holds it. */
-export function hashKey(key: string): string {
-    return createHash("sha256").update(key).digest("hex");
-}
-
-/** The key in an Authorization header, or undefined. */
-export function bearerKey(header: string | undefined): string | undefined {
-    return header === undefined ? undefined : bearerPattern.exec(header)?.[1];
-}
-
-/** Whether the key has the given hash, compared in constant time. */
-export function keyMatches(key: string, hash: string): boolean {
-    const actual = Buffer.from(hashKey(key), "hex");
-    const expected = Buffer.from(hash, "hex");
-    return actual.length === expected.length && timingSafeEqual(actual, expected);
-}
-
 interface DirectoryEntry {
     readonly hash: string;
     readonly customer: Customer;
--- a/src/version/sheet/build-configuration.ts
+++ b/src/version/sheet/build-configuration.ts
@@ -37,8 +37,12 @@
 
 /** The configuration before the first version: nothing is served. */
 export function createEmptyConfiguration(): Configuration {
-    const record = { version: 0, pushId: "", parent: 0, author: "", acceptedAt: "" };
-    return buildConfiguration(record, "kind\n");
+    return previewConfiguration("kind\n");
+}
+
+/** The configuration of a sheet that was not accepted, as version 0. Throws a SheetInvalidError. */
+export function previewConfiguration(sheet: string): Configuration {
+    return buildConfiguration({ version: 0, pushId: "", parent: 0, author: "", acceptedAt: "" }, sheet);
 }
 
 function byName<Item extends { readonly name: string; }>(items: readonly Item[]): ReadonlyMap<string, Item> {
--- a/src/version/sheet/index.ts
+++ b/src/version/sheet/index.ts
@@ -1,5 +1,5 @@
 /** The operators' sheet: its schema, its checks, and the configuration that it describes. */
-export { buildConfiguration, createEmptyConfiguration } from "./build-configuration.js";
+export { buildConfiguration, createEmptyConfiguration, previewConfiguration } from "./build-configuration.js";
 export { describeSheet } from "./describe-sheet.js";
 export { diffSheets } from "./diff-sheets.js";
 export { parseSheet, type SheetRow, type SheetRows } from "./parse-sheet.js";
--- a/test/end-to-end/router-fixture.ts
+++ b/test/end-to-end/router-fixture.ts
@@ -1,13 +1,12 @@
 /** A real router on loopback with stand-ins for everything around it. */
-import { randomUUID } from "node:crypto";
 import { readFile } from "node:fs/promises";
 import { createLogger, LogFormat } from "../../src/common/logger.js";
 import { SilentMetrics } from "../../src/common/metrics.js";
 import { Router } from "../../src/daemon/router.js";
-import { PushService } from "../../src/process/configuration/index.js";
+import { createSheetPushService } from "../../src/daemon/sheet-push.js";
 import { parseSettings } from "../../src/process/settings/parse-settings.js";
 import { StandInFleet } from "../../src/stand-ins/fleet/stand-in-fleet.js";
-import { buildConfiguration, diffSheets, parseSheet } from "../../src/version/sheet/index.js";
+import { previewConfiguration } from "../../src/version/sheet/index.js";
 
 const engineSpeedFactor = 20;
 const seed = 7;
@@ -27,9 +26,8 @@
     /** Starts the stand-ins and a router, and waits until the sheet is in force and the backend servers are known. */
     static async start(): Promise<RouterFixture> {
         const sheet = await readFile("examples/haddow.csv", "utf8");
-        const record = { version: 0, pushId: "", parent: 0, author: "", acceptedAt: "" };
         const fleet = new StandInFleet({
-            configuration: buildConfiguration(record, sheet),
+            configuration: previewConfiguration(sheet),
             locations,
             seed,
             speedFactor: engineSpeedFactor,
@@ -79,13 +77,7 @@
 }
 
 async function pushSheet(fleet: StandInFleet, sheet: string): Promise<number> {
-    const service = new PushService({
-        keyValueService: fleet.platform,
-        check: text => void parseSheet(text),
-        compare: diffSheets,
-        createPushId: randomUUID,
-        wallClock: () => new Date(),
-    });
+    const service = createSheetPushService(fleet.platform);
     return (await service.push({ sheet, author: "test" })).version;
 }
 
--- a/test/process/configuration/configuration-store.test.ts
+++ b/test/process/configuration/configuration-store.test.ts
@@ -1,7 +1,7 @@
 import { afterEach, beforeEach, describe, expect, jest, test } from "@jest/globals";
 import { headKey } from "../../../src/process/configuration/stored-head.js";
 import { Availability, type StandInPlatform } from "../../../src/stand-ins/platform/index.js";
-import { FleetFixture, type RouterFixture, sheetOf } from "./fleet-fixture.js";
+import { FleetFixture, type RouterFixture, settle, sheetOf } from "./fleet-fixture.js";
 
 const inForceMilliseconds = 3_000;
 
@@ -15,12 +15,6 @@
     await fleet.stop();
 });
 
-async function settle<Value>(promise: Promise<Value>, milliseconds: number): Promise<Value> {
-    promise.catch(() => undefined);
-    await jest.advanceTimersByTimeAsync(milliseconds);
-    return promise;
-}
-
 async function startFleet(total: number, watchers: number): Promise<void> {
     for (let index = 0; index < total; index++) {
         fleet.add(index < watchers);
--- a/test/process/configuration/fleet-fixture.ts
+++ b/test/process/configuration/fleet-fixture.ts
@@ -1,4 +1,5 @@
 /** Several configuration stores over one in-process platform, linked by a network in memory that a test can cut. */
+import { jest } from "@jest/globals";
 import { SilentLogger } from "../../../src/common/logger.js";
 import { SilentMetrics } from "../../../src/common/metrics.js";
 import { SeededRandom } from "../../../src/common/random.js";
@@ -22,6 +23,13 @@
     return `kind,megabytes_per_second\nweight-store,${rate}\n`;
 }
 
+/** Advances the paused clock, then gives what the promise came to. */
+export async function settle<Value>(promise: Promise<Value>, milliseconds: number): Promise<Value> {
+    promise.catch(() => undefined);
+    await jest.advanceTimersByTimeAsync(milliseconds);
+    return promise;
+}
+
 /** One router: its store, its own client of the platform, and every version that came into force, in order. */
 export class RouterFixture implements VersionExchange {
     readonly applied: number[] = [];
--- a/test/process/configuration/push-service.test.ts
+++ b/test/process/configuration/push-service.test.ts
@@ -8,7 +8,7 @@
 } from "../../../src/errors/index.js";
 import { chunkBytes } from "../../../src/process/configuration/stored-head.js";
 import { Availability } from "../../../src/stand-ins/platform/index.js";
-import { FleetFixture, sheetOf } from "./fleet-fixture.js";
+import { FleetFixture, settle, sheetOf } from "./fleet-fixture.js";
 
 let fleet: FleetFixture;
 
@@ -20,12 +20,6 @@
     await fleet.stop();
 });
 
-async function settle<Value>(promise: Promise<Value>, milliseconds: number): Promise<Value> {
-    promise.catch(() => undefined);
-    await jest.advanceTimersByTimeAsync(milliseconds);
-    return promise;
-}
-
 const request = (rate: number, author = "planner") => ({ sheet: sheetOf(rate), author });
 
 describe("PushService", () => {
--- a/test/process/operator/operator-handler.test.ts
+++ b/test/process/operator/operator-handler.test.ts
@@ -1,10 +1,10 @@
 import { afterEach, beforeEach, describe, expect, jest, test } from "@jest/globals";
 import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
+import { hashKey } from "../../../src/common/credentials.js";
 import { SilentLogger } from "../../../src/common/logger.js";
 import { NotFoundError } from "../../../src/errors/index.js";
 import { OperatorHandler } from "../../../src/process/operator/operator-handler.js";
-import { hashKey } from "../../../src/version/customer-directory.js";
 
 let server: Server;
 
--- a/test/request/http/caller-fixture.ts
+++ b/test/request/http/caller-fixture.ts
@@ -1,6 +1,7 @@
 /** A caller interface on loopback over a scripted answer service. */
 import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
+import { hashKey } from "../../../src/common/credentials.js";
 import { SilentLogger } from "../../../src/common/logger.js";
 import { SilentMetrics } from "../../../src/common/metrics.js";
 import { createStream, type Emitter } from "../../../src/common/streams.js";
@@ -11,7 +12,6 @@
 import { ChatHandler } from "../../../src/request/chat/chat-handler.js";
 import { CallerHandler } from "../../../src/request/http/caller-handler.js";
 import { ModelsHandler } from "../../../src/request/models/models-handler.js";
-import { hashKey } from "../../../src/version/customer-directory.js";
 
 export const key = "haddow-key";
 const maximumBodyBytes = 4096;
