--- a/src/common/logger.ts
+++ b/src/common/logger.ts
@@ -1,5 +1,5 @@
 /** The logger that is passed down to every part, and its implementation over consola. */
-import { type ConsolaInstance, createConsola, type LogObject } from "consola";
+import { type ConsolaInstance, createConsola, type LogObject } from "consola/core";
 
 /** Named values that go with a log line. Never request text or keys. */
 export type LogFields = Readonly<Record<string, unknown>>;
--- /dev/null
+++ b/src/connection/gateway/http-server-control.ts
@@ -0,0 +1,58 @@
+/** Asks and orders model engines over HTTP. */
+import type { Dialect } from "../../domain/gateway/dialect.js";
+import type { ServerControl } from "../../domain/gateway/server-control.js";
+import {
+    formatSocketAddress,
+    OrderOutcome,
+    type ServerEntry,
+    type ServerReport,
+} from "../../domain/gateway/server-entry.js";
+import type { LayerRange } from "../../domain/layers.js";
+import { ConnectionFailedError, ConnectionFailure } from "../../errors/index.js";
+import { readAnswer, type WholeAnswer } from "./read-answer.js";
+
+/** A report needs no slot, so that a late one means a lost or overloaded engine. */
+const callTimeoutMilliseconds = 800;
+const connectTimeoutMilliseconds = 400;
+const maximumAnswerBytes = 1_000_000;
+
+export class HttpServerControl implements ServerControl {
+    constructor(private readonly dialect: Dialect) {}
+
+    async readReport(server: ServerEntry): Promise<ServerReport> {
+        const answer = await this.call(server, "GET", this.dialect.reportPath, undefined);
+        const report = answer.head.status === 200 ? this.dialect.parseReport(answer.body) : undefined;
+        if (report === undefined) {
+            throw new ConnectionFailedError(server.id, ConnectionFailure.protocol, true);
+        }
+        return report;
+    }
+
+    async placeLayers(server: ServerEntry, layers: LayerRange, ordersBegun: number): Promise<OrderOutcome> {
+        const body = this.dialect.formatPlaceOrder(layers, ordersBegun);
+        const { head } = await this.call(server, "POST", this.dialect.orderPath, body);
+        switch (head.status) {
+            case 202:
+                return OrderOutcome.begun;
+            case 200:
+                return OrderOutcome.alreadyHeld;
+            case 409:
+                return OrderOutcome.conflict;
+            default:
+                return OrderOutcome.refused;
+        }
+    }
+
+    private call(server: ServerEntry, method: string, path: string, body: Buffer | undefined): Promise<WholeAnswer> {
+        const headers = ["Host", formatSocketAddress(server.address), "Connection", "close"];
+        if (body !== undefined) {
+            headers.push("Content-Type", "application/json", "Content-Length", String(body.length));
+        }
+        headers.push(this.dialect.headers.expectedServer, server.id);
+        return readAnswer(server, { method, path, headers, body }, {
+            connectTimeoutMilliseconds,
+            timeoutMilliseconds: callTimeoutMilliseconds,
+            maximumBytes: maximumAnswerBytes,
+        });
+    }
+}
--- /dev/null
+++ b/src/domain/gateway/server-control.ts
@@ -0,0 +1,13 @@
+/** Asking and ordering model engines. */
+import type { LayerRange } from "../layers.js";
+import type { OrderOutcome, ServerEntry, ServerReport } from "./server-entry.js";
+
+export interface ServerControl {
+    /** Rejects with ConnectionFailedError if the engine gives no report in time. */
+    readReport(server: ServerEntry): Promise<ServerReport>;
+    /**
+     * Orders a range of layers, provided that the engine has begun just so many orders before. Rejects with
+     * ConnectionFailedError if no answer comes; the order may then still be carried out.
+     */
+    placeLayers(server: ServerEntry, layers: LayerRange, ordersBegun: number): Promise<OrderOutcome>;
+}
--- a/src/errors/index.ts
+++ b/src/errors/index.ts
@@ -3,6 +3,7 @@
 export * from "./booking-errors.js";
 export * from "./configuration-errors.js";
 export * from "./connection-errors.js";
+export * from "./gateway-errors.js";
 export * from "./general-errors.js";
 export * from "./operator-errors.js";
 export * from "./peer-errors.js";
--- a/src/errors/platform-errors.ts
+++ b/src/errors/platform-errors.ts
@@ -44,3 +44,16 @@
         super(valueTooLargeDefinition, `The value of ${key} has ${bytes} bytes, which is over the limit.`);
     }
 }
+
+const historyLostDefinition = defineError({
+    code: "platform-history-lost",
+    title: "The platform has forgotten older changes",
+    hint: "The router reads everything again; nothing needs to be done.",
+});
+
+/** A read of changes from a revision that the platform no longer remembers. */
+export class HistoryLostError extends PomelostallError {
+    constructor(revision: number) {
+        super(historyLostDefinition, `The platform no longer has the changes after revision ${revision}.`);
+    }
+}
--- /dev/null
+++ b/src/process/gateway/store-contents.ts
@@ -0,0 +1,121 @@
+/** Sorts what the store holds: the configuration, the registry of backend servers, and who leads placement. */
+import type { Logger } from "../../common/logger.js";
+import type { ItemChange, StoredItem } from "../../domain/gateway/metadata-store.js";
+import type { ServerEntry } from "../../domain/gateway/server-entry.js";
+import type { StoreLayout } from "../../domain/gateway/store-layout.js";
+import { MalformedConfigurationError } from "../../errors/index.js";
+import type { ConfigurationInForce } from "./configuration-in-force.js";
+import type { RouterDirectory } from "./router-directory.js";
+import type { ServerRegistry } from "./server-registry.js";
+import type { StoreObserver } from "./store-follower.js";
+
+/** Who holds the placement key, as far as this process knows. */
+export interface LeaderKeyObserver {
+    leaderKeyChanged(value: Buffer | undefined): void;
+}
+
+export class StoreContents implements StoreObserver {
+    constructor(
+        private readonly layout: StoreLayout,
+        private readonly configuration: ConfigurationInForce,
+        private readonly registry: ServerRegistry,
+        private readonly routers: RouterDirectory,
+        private readonly leader: LeaderKeyObserver,
+        private readonly logger: Logger,
+    ) {}
+
+    replaceAll(items: readonly StoredItem[], storeRevision: number): void {
+        const entries = new Map<string, { entry: ServerEntry; revision: number; }>();
+        const routers = new Map<string, string>();
+        for (const item of items) {
+            const router = this.routerName(item.key);
+            if (router !== undefined) {
+                routers.set(router, item.value.toString("utf8"));
+            }
+            const id = this.serverId(item.key);
+            const entry = id === undefined ? undefined : this.decodeServer(id, item.value);
+            if (entry !== undefined) {
+                entries.set(entry.id, { entry, revision: item.revision });
+            }
+        }
+        const configuration = items.find(({ key }) => key === this.layout.configurationKey);
+        if (configuration !== undefined) {
+            this.offerConfiguration(configuration.value, configuration.revision);
+        }
+        this.registry.replaceAll(entries, storeRevision);
+        this.routers.replaceAll(routers);
+        this.leader.leaderKeyChanged(items.find(({ key }) => key === this.layout.placementLeaderKey)?.value);
+    }
+
+    applyChanges(changes: readonly ItemChange[]): void {
+        changes.forEach(change => this.applyChange(change));
+    }
+
+    private applyChange({ key, value, revision }: ItemChange): void {
+        const id = this.serverId(key);
+        if (id !== undefined) {
+            this.applyServer(id, value, revision);
+        }
+        else if (key === this.layout.configurationKey && value !== undefined) {
+            this.offerConfiguration(value, revision);
+        }
+        else if (key === this.layout.placementLeaderKey) {
+            this.leader.leaderKeyChanged(value);
+        }
+        else {
+            this.applyRouter(this.routerName(key), value);
+        }
+    }
+
+    private applyServer(id: string, value: Buffer | undefined, revision: number): void {
+        const entry = value === undefined ? undefined : this.decodeServer(id, value);
+        if (entry === undefined) {
+            this.registry.remove(id, revision);
+        }
+        else {
+            this.registry.put(entry, revision);
+        }
+    }
+
+    private decodeServer(id: string, value: Buffer): ServerEntry | undefined {
+        const entry = this.layout.decodeServer(id, value);
+        if (entry === undefined) {
+            this.logger.warn("registry entry cannot be read; it names no backend server", { id, bytes: value.length });
+        }
+        return entry;
+    }
+
+    private offerConfiguration(value: Buffer, revision: number): void {
+        try {
+            this.configuration.offer(this.layout.decodeConfiguration(value), "store");
+        }
+        catch (error) {
+            if (!(error instanceof MalformedConfigurationError)) {
+                throw error;
+            }
+            this.logger.error("configuration cannot be read; the one before stays in force", {
+                revision,
+                error: error.message,
+            });
+        }
+    }
+
+    private applyRouter(name: string | undefined, value: Buffer | undefined): void {
+        if (name !== undefined && value !== undefined) {
+            this.routers.put(name, value.toString("utf8"));
+        }
+        else if (name !== undefined) {
+            this.routers.remove(name);
+        }
+    }
+
+    private routerName(key: string): string | undefined {
+        const { routerKeyPrefix } = this.layout;
+        return key.startsWith(routerKeyPrefix) ? key.slice(routerKeyPrefix.length) : undefined;
+    }
+
+    private serverId(key: string): string | undefined {
+        const { serverKeyPrefix } = this.layout;
+        return key.startsWith(serverKeyPrefix) ? key.slice(serverKeyPrefix.length) : undefined;
+    }
+}
--- /dev/null
+++ b/src/process/settings/parse-checked.ts
@@ -0,0 +1,98 @@
+/** Reads JSON with comments and checks it against a schema, with every fault reported at once. */
+import {
+    findNodeAtLocation,
+    getNodeValue,
+    type Node,
+    type ParseError,
+    parseTree,
+    printParseErrorCode,
+} from "jsonc-parser";
+import { InvalidSettingsError, type SettingsFault } from "../../errors/index.js";
+
+const maximumFoundCharacters = 60;
+
+/** One issue of a schema, narrowed to what is used here. */
+export interface SchemaIssue {
+    readonly code?: string;
+    readonly message: string;
+    readonly path: readonly PropertyKey[];
+    readonly keys?: readonly string[];
+}
+
+/** What a schema of zod, in either of its forms, offers. */
+export interface CheckedSchema<Value> {
+    safeParse(value: unknown):
+        | { readonly success: true; readonly data: Value; }
+        | { readonly success: false; readonly error: { readonly issues: readonly unknown[]; }; };
+}
+
+/** Checks a text. Throws InvalidSettingsError with every fault. */
+export function parseChecked<Value>(text: string, file: string, schema: CheckedSchema<Value>): Value {
+    const errors: ParseError[] = [];
+    const tree = parseTree(text, errors, { allowTrailingComma: true });
+    if (errors.length > 0 || tree === undefined) {
+        throw new InvalidSettingsError(file, syntaxFaults(text, errors));
+    }
+    const result = schema.safeParse(getNodeValue(tree));
+    if (!result.success) {
+        const faults = result.error.issues.flatMap(issue => schemaFaults(text, tree, issue as SchemaIssue));
+        throw new InvalidSettingsError(file, faults);
+    }
+    return result.data;
+}
+
+function syntaxFaults(text: string, errors: readonly ParseError[]): SettingsFault[] {
+    if (errors.length === 0) {
+        return [{ line: 1, column: 1, field: "(file)", found: "nothing", accepted: "an object" }];
+    }
+    return errors.map(error => ({
+        ...position(text, error.offset),
+        field: "(syntax)",
+        found: shorten(text.slice(error.offset, error.offset + Math.max(1, error.length))),
+        accepted: `JSON with comments (${printParseErrorCode(error.error)})`,
+    }));
+}
+
+function schemaFaults(text: string, tree: Node, issue: SchemaIssue): SettingsFault[] {
+    const path = issue.path as (string | number)[];
+    if (issue.code === "unrecognized_keys") {
+        return (issue.keys ?? []).map(key => unknownFieldFault(text, tree, [...path, key]));
+    }
+    const node = findNodeAtLocation(tree, path);
+    const nearest = node ?? nearestNode(tree, path);
+    return [{
+        ...position(text, nearest.offset),
+        field: path.join(".") || "(file)",
+        found: node === undefined ? "nothing" : shorten(JSON.stringify(getNodeValue(node))),
+        accepted: issue.message,
+    }];
+}
+
+function unknownFieldFault(text: string, tree: Node, path: (string | number)[]): SettingsFault {
+    const node = findNodeAtLocation(tree, path);
+    return {
+        ...position(text, node?.parent?.offset ?? 0),
+        field: path.join("."),
+        found: "an unknown field",
+        accepted: "the fields that docs/SETTINGS.md lists",
+    };
+}
+
+function nearestNode(tree: Node, path: (string | number)[]): Node {
+    for (let length = path.length - 1; length > 0; length--) {
+        const node = findNodeAtLocation(tree, path.slice(0, length));
+        if (node !== undefined) {
+            return node;
+        }
+    }
+    return tree;
+}
+
+function position(text: string, offset: number): { line: number; column: number; } {
+    const before = text.slice(0, offset).split("\n");
+    return { line: before.length, column: (before.at(-1)?.length ?? 0) + 1 };
+}
+
+function shorten(text: string): string {
+    return text.length <= maximumFoundCharacters ? text : `${text.slice(0, maximumFoundCharacters)}...`;
+}
--- a/src/process/settings/parse-settings.ts
+++ b/src/process/settings/parse-settings.ts
@@ -1,20 +1,8 @@
-/** Reads a settings file: JSON with comments, checked against the schema, with every fault reported at once. */
-import { findNodeAtLocation, type Node, type ParseError, parseTree, printParseErrorCode } from "jsonc-parser";
-import { getNodeValue } from "jsonc-parser";
+/** Reads the settings file of a router that has its own interface. */
 import { readTextFile } from "../../common/read-text-file.js";
-import { InvalidSettingsError, type SettingsFault } from "../../errors/index.js";
+import { parseChecked } from "./parse-checked.js";
 import { type RouterSettings, routerSettingsSchema } from "./schema.js";
 
-const maximumFoundCharacters = 60;
-
-/** One issue of zod, narrowed to what is used here. */
-interface SchemaIssue {
-    readonly code?: string;
-    readonly message: string;
-    readonly path: readonly PropertyKey[];
-    readonly keys?: readonly string[];
-}
-
 /** Reads and checks a file. Throws UnreadableFileError or InvalidSettingsError. */
 export async function readSettings(file: string): Promise<RouterSettings> {
     return parseSettings(await readTextFile(file), file);
@@ -22,71 +10,5 @@
 
 /** Checks a text. Throws InvalidSettingsError with every fault. */
 export function parseSettings(text: string, file: string): RouterSettings {
-    const errors: ParseError[] = [];
-    const tree = parseTree(text, errors, { allowTrailingComma: true });
-    if (errors.length > 0 || tree === undefined) {
-        throw new InvalidSettingsError(file, syntaxFaults(text, errors));
-    }
-    const result = routerSettingsSchema.safeParse(getNodeValue(tree));
-    if (!result.success) {
-        const faults = result.error.issues.flatMap(issue => schemaFaults(text, tree, issue as SchemaIssue));
-        throw new InvalidSettingsError(file, faults);
-    }
-    return result.data;
-}
-
-function syntaxFaults(text: string, errors: readonly ParseError[]): SettingsFault[] {
-    if (errors.length === 0) {
-        return [{ line: 1, column: 1, field: "(file)", found: "nothing", accepted: "an object" }];
-    }
-    return errors.map(error => ({
-        ...position(text, error.offset),
-        field: "(syntax)",
-        found: shorten(text.slice(error.offset, error.offset + Math.max(1, error.length))),
-        accepted: `JSON with comments (${printParseErrorCode(error.error)})`,
-    }));
-}
-
-function schemaFaults(text: string, tree: Node, issue: SchemaIssue): SettingsFault[] {
-    const path = issue.path as (string | number)[];
-    if (issue.code === "unrecognized_keys") {
-        return (issue.keys ?? []).map(key => unknownFieldFault(text, tree, [...path, key]));
-    }
-    const node = findNodeAtLocation(tree, path);
-    const nearest = node ?? nearestNode(tree, path);
-    return [{
-        ...position(text, nearest.offset),
-        field: path.join(".") || "(file)",
-        found: node === undefined ? "nothing" : shorten(JSON.stringify(getNodeValue(node))),
-        accepted: issue.message,
-    }];
-}
-
-function unknownFieldFault(text: string, tree: Node, path: (string | number)[]): SettingsFault {
-    const node = findNodeAtLocation(tree, path);
-    return {
-        ...position(text, node?.parent?.offset ?? 0),
-        field: path.join("."),
-        found: "an unknown field",
-        accepted: "the fields that docs/SETTINGS.md lists",
-    };
-}
-
-function nearestNode(tree: Node, path: (string | number)[]): Node {
-    for (let length = path.length - 1; length > 0; length--) {
-        const node = findNodeAtLocation(tree, path.slice(0, length));
-        if (node !== undefined) {
-            return node;
-        }
-    }
-    return tree;
-}
-
-function position(text: string, offset: number): { line: number; column: number; } {
-    const before = text.slice(0, offset).split("\n");
-    return { line: before.length, column: (before.at(-1)?.length ?? 0) + 1 };
-}
-
-function shorten(text: string): string {
-    return text.length <= maximumFoundCharacters ? text : `${text.slice(0, maximumFoundCharacters)}...`;
+    return parseChecked(text, file, routerSettingsSchema);
 }
--- /dev/null
+++ b/src/request/gateway/layer-path-chooser.ts
@@ -0,0 +1,76 @@
+/** Chooses the path of a streaming request from the registry, this router's load and what requests have shown. */
+import type { EngineProfile } from "../../domain/gateway/configuration.js";
+import type { ServerEntry } from "../../domain/gateway/server-entry.js";
+import { layerCount } from "../../domain/layers.js";
+import { tokensThatFit } from "../../process/gateway/layer-placement/layer-capacity.js";
+import type { ServerLoad } from "../../process/gateway/server-load.js";
+import type { ServerRegistry } from "../../process/gateway/server-registry.js";
+import type { ServerSuspicions } from "../../process/gateway/server-suspicions.js";
+import type { LayerPath, LayerPathFinder, PathServer, RequestSize } from "./layer-path-finder.js";
+
+export interface LayerPathChooserOptions {
+    readonly homeZone: string;
+    /** A server that leaves may be used for this long after this router learnt of it, where nothing else is left. */
+    readonly leavingUseMilliseconds: number;
+    /** Routers of the fleet; each takes its own load as a sample of everyone's. */
+    routerCount(): number;
+}
+
+export class LayerPathChooser {
+    constructor(
+        private readonly registry: ServerRegistry,
+        private readonly load: ServerLoad,
+        private readonly suspicions: ServerSuspicions,
+        private readonly finder: LayerPathFinder,
+        private readonly options: LayerPathChooserOptions,
+    ) {}
+
+    /** Tries sound servers first, then those that requests have shown to fail, then those that are about to leave. */
+    choose(
+        service: string,
+        engine: EngineProfile,
+        size: RequestSize,
+        avoided: ReadonlySet<string>,
+    ): LayerPath | undefined {
+        const active = this.registry.active(service).filter(({ id }) => !avoided.has(id));
+        const sound = active.filter(({ id }) => !this.suspicions.isSuspected(id));
+        return this.find(sound, engine, size)
+            ?? (sound.length < active.length ? this.find(active, engine, size) : undefined)
+            ?? this.findWithLeaving(service, active, engine, size, avoided);
+    }
+
+    private findWithLeaving(
+        service: string,
+        active: readonly ServerEntry[],
+        engine: EngineProfile,
+        size: RequestSize,
+        avoided: ReadonlySet<string>,
+    ): LayerPath | undefined {
+        const leaving = this.registry
+            .justLeaving(service, this.options.leavingUseMilliseconds)
+            .filter(({ id }) => !avoided.has(id));
+        return leaving.length === 0 ? undefined : this.find([...active, ...leaving], engine, size);
+    }
+
+    private find(entries: readonly ServerEntry[], engine: EngineProfile, size: RequestSize): LayerPath | undefined {
+        const servers = entries.flatMap(entry => this.describe(entry, engine));
+        return this.finder.find(servers, engine, size, this.options.homeZone);
+    }
+
+    private describe(entry: ServerEntry, engine: EngineProfile): PathServer[] {
+        const kind = engine.kinds.get(entry.kind ?? "");
+        if (kind === undefined || entry.layers === undefined) {
+            return [];
+        }
+        const routerCount = this.options.routerCount();
+        return [{
+            entry,
+            layers: entry.layers,
+            stepFactor: kind.stepFactor,
+            readFactor: kind.readFactor,
+            requests: this.load.requests(entry.id) * routerCount,
+            tokens: this.load.tokens(entry.id) * routerCount,
+            tokenCapacity: tokensThatFit(engine, kind, layerCount(entry.layers)),
+        }];
+    }
+}
--- /dev/null
+++ b/src/request/gateway/layer-path-finder.ts
@@ -0,0 +1,176 @@
+/**
+ * Finds the cheapest way of one request through the layers of a model. Servers hold overlapping ranges, so a path may
+ * use a part of what a server holds. The cost is the expected time of the request's tokens on each part, the hops between
+ * parts, and a penalty where memory or slots run short.
+ */
+import type { RandomSource } from "../../common/random.js";
+import type { EngineProfile } from "../../domain/gateway/configuration.js";
+import type { ServerEntry } from "../../domain/gateway/server-entry.js";
+import type { LayerRange } from "../../domain/layers.js";
+
+/** A server that may take part, with the load that is known of it. */
+export interface PathServer {
+    readonly entry: ServerEntry;
+    readonly layers: LayerRange;
+    readonly stepFactor: number;
+    readonly readFactor: number;
+    /** Requests that run through it. */
+    readonly requests: number;
+    /** Tokens whose KV cache it holds. */
+    readonly tokens: number;
+    /** Tokens whose KV cache fits. */
+    readonly tokenCapacity: number;
+}
+
+export interface RequestSize {
+    readonly promptTokens: number;
+    readonly answerTokens: number;
+}
+
+export interface LayerPathPart {
+    readonly server: ServerEntry;
+    readonly layers: LayerRange;
+}
+
+export interface LayerPath {
+    readonly parts: readonly LayerPathPart[];
+    /** Expected time, with penalties, in milliseconds. */
+    readonly cost: number;
+}
+
+export interface LayerPathFinder {
+    find(
+        servers: readonly PathServer[],
+        engine: EngineProfile,
+        size: RequestSize,
+        homeZone: string,
+    ): LayerPath | undefined;
+}
+
+/** One way inside a zone; the platform states delays between zones only. */
+const hopMilliseconds = 0.2;
+/** Transfers between zones queue behind each other: a link at three quarters of its rate makes a transfer wait as long thrice. */
+const zoneLinkContention = 4;
+/** Starting in another zone than the router's own: one way there and back, and bytes that are priced. */
+const foreignStartMilliseconds = 5;
+/** Share of a server's memory above which requests risk being preempted. */
+const memoryWatermark = 0.85;
+/** Cost of filling a server's memory from the watermark to the brim: a preempted request reads its prompt again. */
+const fullMemoryMilliseconds = 2_000;
+/** Spreads requests over servers that cost the same. */
+const randomShare = 0.05;
+const bitsPerByte = 8;
+const bitsPerMegabit = 1e6;
+const millisecondsPerSecond = 1_000;
+
+interface State {
+    readonly cost: number;
+    readonly server: number;
+    /** Index of the layer at which the server's part begins. */
+    readonly first: number;
+    readonly before: State | undefined;
+}
+
+export class CheapestLayerPathFinder implements LayerPathFinder {
+    constructor(private readonly random: RandomSource) {}
+
+    find(
+        servers: readonly PathServer[],
+        engine: EngineProfile,
+        size: RequestSize,
+        homeZone: string,
+    ): LayerPath | undefined {
+        const boundaries = listBoundaries(servers, engine.layerCount);
+        const layerCosts = servers.map(server => this.layerCost(server, engine, size));
+        const zoneHop = zoneHopCost(engine, size);
+        const localHop = hopMilliseconds * size.answerTokens;
+        const states = new Map<number, (State | undefined)[]>(boundaries.map(boundary => [boundary, []]));
+        const extend = (from: State | undefined, at: number, index: number) => {
+            const server = servers[index]!;
+            const sameZone = from === undefined
+                || servers[from.server]!.entry.availabilityZone === server.entry.availabilityZone;
+            const start = server.entry.availabilityZone === homeZone ? 0 : foreignStartMilliseconds;
+            const hop = from === undefined ? start : sameZone ? localHop : zoneHop;
+            for (const end of boundaries) {
+                if (end <= at || end > server.layers.last + 1) {
+                    continue;
+                }
+                const cost = (from?.cost ?? 0) + hop + layerCosts[index]! * (end - at);
+                const reached = states.get(end)!;
+                if (cost < (reached[index]?.cost ?? Infinity)) {
+                    reached[index] = { cost, server: index, first: at, before: from };
+                }
+            }
+        };
+        for (const at of boundaries.slice(0, -1)) {
+            for (const [index, server] of servers.entries()) {
+                if (server.layers.first > at || server.layers.last < at) {
+                    continue;
+                }
+                if (at === 0) {
+                    extend(undefined, at, index);
+                }
+                for (const from of states.get(at)!) {
+                    if (from !== undefined && from.server !== index) {
+                        extend(from, at, index);
+                    }
+                }
+            }
+        }
+        const last = cheapest(states.get(engine.layerCount) ?? []);
+        return last === undefined ? undefined : { cost: last.cost, parts: toParts(last, servers, engine.layerCount) };
+    }
+
+    /** Expected time of one layer for all tokens of the request, on one server. */
+    private layerCost(server: PathServer, engine: EngineProfile, size: RequestSize): number {
+        const contextThousands = server.tokens / 1_000;
+        const step = engine.stepMilliseconds
+            + engine.stepMillisecondsPerRequest * (server.requests + 1)
+            + engine.stepMillisecondsPerThousandTokens * contextThousands;
+        const generating = size.answerTokens * step * server.stepFactor;
+        const reading = (size.promptTokens / engine.readTokensPerMillisecond) * server.readFactor;
+        const filled = (server.tokens + size.promptTokens + size.answerTokens) / server.tokenCapacity;
+        const overfull = Math.max(0, filled - memoryWatermark) / (1 - memoryWatermark);
+        const expected = (generating + reading) / engine.layerCount;
+        return expected * (1 + randomShare * this.random.next())
+            + (overfull * fullMemoryMilliseconds) / engine.layerCount;
+    }
+}
+
+function zoneHopCost(engine: EngineProfile, size: RequestSize): number {
+    const tokens = size.promptTokens + size.answerTokens;
+    const seconds = (tokens * engine.activationBytes * bitsPerByte)
+        / (engine.zoneLinkMegabitsPerSecond * bitsPerMegabit);
+    return zoneLinkContention * seconds * millisecondsPerSecond + hopMilliseconds * size.answerTokens;
+}
+
+/** Layers at which a part can begin or end, in order. */
+function listBoundaries(servers: readonly PathServer[], layerCount: number): number[] {
+    const boundaries = new Set([0, layerCount]);
+    for (const { layers } of servers) {
+        boundaries.add(layers.first);
+        boundaries.add(Math.min(layerCount, layers.last + 1));
+    }
+    return [...boundaries].sort((left, right) => left - right);
+}
+
+function cheapest(states: readonly (State | undefined)[]): State | undefined {
+    return states.reduce(
+        (best, state) => state !== undefined && state.cost < (best?.cost ?? Infinity) ? state : best,
+        undefined,
+    );
+}
+
+/** A server that would come twice takes everything in between as well: what it holds is one range. */
+function toParts(last: State, servers: readonly PathServer[], layerCount: number): LayerPathPart[] {
+    const parts: { server: ServerEntry; layers: LayerRange; }[] = [];
+    let end = layerCount;
+    for (let state: State | undefined = last; state !== undefined; state = state.before) {
+        const { entry } = servers[state.server]!;
+        const again = parts.findIndex(({ server }) => server === entry);
+        const lastLayer = again === -1 ? end - 1 : parts[again]!.layers.last;
+        parts.splice(0, again + 1, { server: entry, layers: { first: state.first, last: lastLayer } });
+        end = state.first;
+    }
+    return parts;
+}
--- /dev/null
+++ b/src/request/gateway/stream-forwarder.ts
@@ -0,0 +1,216 @@
+/**
+ * Passes a stream from the engines to a caller. Where the route allows it, a run that breaks off is followed by another
+ * on a path that avoids the servers at fault, and goes on after the last event that the caller has.
+ */
+import { monotonicNow } from "../../common/clock.js";
+import type { Logger } from "../../common/logger.js";
+import type { EngineProfile } from "../../domain/gateway/configuration.js";
+import type { Dialect } from "../../domain/gateway/dialect.js";
+import { formatLayerRange } from "../../domain/layers.js";
+import { DeadlineExceededError, ExchangeFailedError, NoServerAvailableError, Outcome } from "../../errors/index.js";
+import type { RetryAllowance } from "../../process/gateway/retry-allowance.js";
+import type { ServerLoad } from "../../process/gateway/server-load.js";
+import type { ServerRegistry } from "../../process/gateway/server-registry.js";
+import type { ServerSuspicions } from "../../process/gateway/server-suspicions.js";
+import type { CallerResponse } from "./caller-response.js";
+import type { GatewayHeaders } from "./headers.js";
+import type { LayerPathChooser } from "./layer-path-chooser.js";
+import type { LayerPath, RequestSize } from "./layer-path-finder.js";
+import { AttemptEnd, type AttemptResult, StreamAttempt } from "./stream-attempt.js";
+import { StreamProgress } from "./stream-progress.js";
+import type { GatewayRequest } from "./types.js";
+
+export interface StreamForwarderParts {
+    readonly dialect: Dialect;
+    readonly headers: GatewayHeaders;
+    readonly paths: LayerPathChooser;
+    readonly registry: ServerRegistry;
+    readonly load: ServerLoad;
+    readonly suspicions: ServerSuspicions;
+    readonly retries: RetryAllowance;
+    readonly logger: Logger;
+}
+
+/** Servers that may refuse a request before its caller is told to come back. */
+const maximumRefusals = 4;
+/** Without a path, about the time in which lost layers are loaded again. */
+const retryAfterSeconds = 1;
+
+export class StreamForwarder {
+    constructor(private readonly parts: StreamForwarderParts) {}
+
+    /** Throws a PomelostallError if nothing was written to the caller. */
+    async forward(request: GatewayRequest, engine: EngineProfile, response: CallerResponse): Promise<void> {
+        await new StreamRun(this.parts, request, engine, response).run();
+    }
+}
+
+class StreamRun {
+    private readonly avoided = new Set<string>();
+    private readonly progress: StreamProgress;
+    private refusals = 0;
+    /** Runs that may have begun. */
+    private runs = 0;
+
+    constructor(
+        private readonly parts: StreamForwarderParts,
+        private readonly request: GatewayRequest,
+        private readonly engine: EngineProfile,
+        private readonly response: CallerResponse,
+    ) {
+        this.progress = new StreamProgress(response);
+    }
+
+    async run(): Promise<void> {
+        this.parts.retries.noteRequest(this.request.service);
+        for (;;) {
+            const path = this.choosePath();
+            const result = await this.attempt(path);
+            this.log(path, result);
+            if (this.request.callerGone.aborted) {
+                return;
+            }
+            if (result.end === AttemptEnd.complete) {
+                this.progress.end();
+                return;
+            }
+            this.blame(path, result);
+            if (this.isOver(result)) {
+                return;
+            }
+        }
+    }
+
+    private choosePath(): LayerPath {
+        const size = requestSize(this.request, this.engine);
+        const { service } = this.request;
+        const path = this.parts.paths.choose(service, this.engine, size, this.avoided)
+            ?? (this.avoided.size > 0 ? this.parts.paths.choose(service, this.engine, size, new Set()) : undefined);
+        if (path === undefined) {
+            this.giveUp("no path through all layers");
+        }
+        return path;
+    }
+
+    private async attempt(path: LayerPath): Promise<AttemptResult> {
+        const { request, parts, progress } = this;
+        const server = path.parts[0]!.server;
+        const size = requestSize(request, this.engine);
+        const endLoad = parts.load.begin(path.parts.map(part => part.server.id), size.promptTokens + size.answerTokens);
+        const attempt = new StreamAttempt(
+            server,
+            {
+                method: request.method,
+                path: request.target,
+                body: request.body,
+                headers: parts.headers.forAttempt(request, {
+                    server,
+                    layerPath: parts.dialect.formatLayerPath(
+                        path.parts.map(part => ({ address: part.server.address, layers: part.layers })),
+                    ),
+                    lastEventId: progress.lastEventId,
+                }),
+            },
+            request.id,
+            parts.dialect.headers,
+            progress,
+        );
+        progress.attach(attempt);
+        const timer = setTimeout(() => attempt.cancel("deadline"), Math.max(0, request.deadline - monotonicNow()));
+        const callerGone = () => attempt.cancel("caller gone");
+        request.callerGone.addEventListener("abort", callerGone);
+        try {
+            return await attempt.result;
+        }
+        finally {
+            clearTimeout(timer);
+            request.callerGone.removeEventListener("abort", callerGone);
+            endLoad();
+        }
+    }
+
+    /** Keeps the servers at fault out of the next path. */
+    private blame(path: LayerPath, result: AttemptResult): void {
+        const named = this.parts.dialect.parseAddress(headerText(result, this.parts.dialect.headers.serverAtFault));
+        const address = named === undefined ? undefined : `${named.host}:${named.port}`;
+        const atFault = address === undefined ? undefined : this.parts.registry.findByAddress(address)?.entry.id;
+        const first = path.parts[0]!.server.id;
+        if (result.end === AttemptEnd.notRun) {
+            this.avoided.add(atFault ?? first);
+            this.parts.suspicions.noteFailure(atFault ?? first, result.reason);
+        }
+        else if (result.end === AttemptEnd.broken) {
+            path.parts.forEach(part => this.avoided.add(part.server.id));
+        }
+    }
+
+    /** Whether a backend server's failure was delivered as the answer. Throws if there is none and no further attempt. */
+    private isOver(result: AttemptResult): boolean {
+        const { request, parts } = this;
+        if (monotonicNow() >= request.deadline) {
+            this.fail(
+                new DeadlineExceededError(
+                    this.runs > 0 || result.end !== AttemptEnd.notRun ? Outcome.unknown : Outcome.notRun,
+                ),
+            );
+        }
+        if (result.end === AttemptEnd.notRun) {
+            this.refusals++;
+        }
+        else {
+            this.runs++;
+        }
+        const exhausted = this.runs >= request.route.maximumAttempts || this.refusals > maximumRefusals;
+        const repeatable = this.runs === 0 || request.route.resumable;
+        if (exhausted || !repeatable || !parts.retries.take(request.service)) {
+            if (result.end === AttemptEnd.failure && !this.response.begun) {
+                this.response.writeWhole(result.head!, result.body!);
+                return true;
+            }
+            this.giveUp(result.reason);
+        }
+        return false;
+    }
+
+    private giveUp(reason: string): never {
+        const error = this.runs > 0
+            ? new ExchangeFailedError(reason)
+            : new NoServerAvailableError(this.request.service, reason, retryAfterSeconds);
+        return this.fail(error);
+    }
+
+    private fail(error: DeadlineExceededError | ExchangeFailedError | NoServerAvailableError): never {
+        if (this.response.begun) {
+            this.response.breakOff();
+        }
+        throw error;
+    }
+
+    private log(path: LayerPath, result: AttemptResult): void {
+        this.parts.logger.decision({
+            kind: "stream-attempt",
+            chosen: path.parts.map(({ server, layers }) => `${server.id}=${formatLayerRange(layers)}`).join(","),
+            over: [],
+            reason: result.reason,
+            configurationVersion: this.request.configurationVersion,
+            requestId: this.request.id,
+            fields: {
+                outcome: result.end,
+                cost: Math.round(path.cost),
+                registryGeneration: this.parts.registry.generation,
+                lastEventId: this.progress.lastEventId,
+                milliseconds: Math.round(monotonicNow() - this.request.receivedAt),
+            },
+        });
+    }
+}
+
+function headerText(result: AttemptResult, name: string): string | undefined {
+    const value = result.head?.headers[name];
+    return typeof value === "string" ? value : undefined;
+}
+
+function requestSize(request: GatewayRequest, engine: EngineProfile): RequestSize {
+    const answerTokens = Math.min(engine.usualAnswerTokens, request.tokens?.maximumAnswer ?? Infinity);
+    return { promptTokens: request.tokens?.prompt ?? engine.usualPromptTokens, answerTokens };
+}
