--- a/eslint.config.js
+++ b/eslint.config.js
@@ -6,7 +6,19 @@
 }));
 
 export default tseslint.config(
-    { ignores: ["dist/", "dist/", "src/generated/", "node_modules/", "coverage/", "*.cjs", "*.js"] },
+    {
+        ignores: [
+            "dist/",
+            "dist/",
+            "src/generated/",
+            "node_modules/",
+            "coverage/",
+            "target/",
+            "*.cjs",
+            "*.js",
+            "**/*.mjs",
+        ],
+    },
     tseslint.configs.recommendedTypeChecked,
     {
         languageOptions: { parserOptions: { projectService: true } },
--- a/src/request/gateway/gateway-handler.ts
+++ b/src/request/gateway/gateway-handler.ts
@@ -57,7 +57,7 @@
 
     private async serve(message: IncomingMessage, serverResponse: ServerResponse): Promise<void> {
         const receivedAt = monotonicNow();
-        const response = new CallerResponse(serverResponse, this.parts.closing);
+        const response = new CallerResponse(serverResponse, () => this.parts.closing());
         const callerGone = new AbortController();
         serverResponse.on("close", () => {
             if (!serverResponse.writableFinished) {
--- a/src/request/gateway/layer-path-finder.ts
+++ b/src/request/gateway/layer-path-finder.ts
@@ -49,8 +49,11 @@
 
 /** One way inside a zone; the platform states delays between zones only. */
 const hopMilliseconds = 0.2;
-/** Transfers between zones queue behind each other: a link at three quarters of its rate makes a transfer wait as long thrice. */
-const zoneLinkContention = 4;
+/**
+ * A crossing between zones takes room on a link that all requests share, and its bytes are priced; it is worth about as
+ * much as half of a usual answer's time, so that paths leave a zone only where its own servers are missing or crowded.
+ */
+const zoneCrossingMilliseconds = 1_500;
 /** Starting in another zone than the router's own: one way there and back, and bytes that are priced. */
 const foreignStartMilliseconds = 5;
 /** Share of a server's memory above which requests risk being preempted. */
@@ -141,7 +144,7 @@
     const tokens = size.promptTokens + size.answerTokens;
     const seconds = (tokens * engine.activationBytes * bitsPerByte)
         / (engine.zoneLinkMegabitsPerSecond * bitsPerMegabit);
-    return zoneLinkContention * seconds * millisecondsPerSecond + hopMilliseconds * size.answerTokens;
+    return zoneCrossingMilliseconds + seconds * millisecondsPerSecond + hopMilliseconds * size.answerTokens;
 }
 
 /** Layers at which a part can begin or end, in order. */
