--- a/src/process/gateway/store-follower.ts
+++ b/src/process/gateway/store-follower.ts
@@ -1,7 +1,8 @@
 /**
  * Follows everything under a prefix of the platform's store: one full read, then waiting reads of changes from the last
- * revision on. After a lost history it reads everything again. Each call costs the fleet a share of the store's rate, so
- * changes that come in quick succession are fetched together, and failures are retried with a growing, jittered pause.
+ * revision on. After a lost history or a failure it reads everything again, since a waiting read may have missed changes
+ * and would not notice the store's return. Each call costs the fleet a share of the store's rate, so changes that come in
+ * quick succession are fetched together, and failures are retried with a growing, jittered pause.
  */
 import { delay, monotonicNow } from "../../common/clock.js";
 import type { Managed } from "../../common/life-cycle.js";
@@ -17,12 +18,15 @@
     applyChanges(changes: readonly ItemChange[], storeRevision: number): void;
 }
 
-/** A waiting read is answered after this time without changes, which also bounds how long a dead link goes unnoticed. */
-const waitMilliseconds = 5_000;
+/**
+ * A waiting read is answered after this time without changes. With the client's slack it bounds how long a dead link goes
+ * unnoticed: 3 s, the time for which the users count a router with a reset link as out of touch.
+ */
+const waitMilliseconds = 2_500;
 /** Changes within this time are fetched with one call. A tenth of the time in which a configuration must be in force. */
 const gatherMilliseconds = 200;
 const firstRetryMilliseconds = 100;
-const maximumRetryMilliseconds = 1_000;
+const maximumRetryMilliseconds = 500;
 
 export class StoreFollower implements Managed {
     readonly name = "store follower";
@@ -110,12 +114,12 @@
     private async noteFailure(error: unknown): Promise<void> {
         if (error instanceof HistoryLostError) {
             this.logger.warn("store history lost; reading everything again", { revision: this.revision });
-            this.revision = undefined;
         }
         else if (this.failedSince === undefined) {
             this.failedSince = monotonicNow();
             this.logger.warn("store unreachable", { error: String(error), revision: this.revision });
         }
+        this.revision = undefined;
         const pause = Math.min(maximumRetryMilliseconds, firstRetryMilliseconds * 2 ** this.failures++);
         await delay(pause * (0.5 + this.random.next() / 2), this.stopping.signal);
     }
