Let the placement leader probe suspects, tell the other routers, and go on in outages

Cause: lost engines were noticed only after three heartbeats, new layers a heartbeat late, and nothing was repaired while the store was away.

--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -5,6 +5,7 @@
 import type { Logger } from "../common/logger.js";
 import { SystemRandom } from "../common/random.js";
 import { HttpServerControl } from "../connection/gateway/http-server-control.js";
+import { createNoticeServer, HttpNoticeSender } from "../connection/gateway/peer-notices.js";
 import type { Dialect } from "../domain/gateway/dialect.js";
 import type { MetadataStore } from "../domain/gateway/metadata-store.js";
 import { formatSocketAddress, type SocketAddress } from "../domain/gateway/server-entry.js";
@@ -39,7 +40,7 @@
 
 const millisecondsPerSecond = 1_000;
 /** Part of the drain bound in which a leaving server may still be used: the rest covers the way to it. */
-const leavingUseShare = 0.6;
+const leavingUseShare = 0.85;
 /** The platform asks for readiness once a second and takes two misses; until then it sends new connections. */
 const noticeMilliseconds = 2_500;
 /** Left of the grace time for ending the process. */
@@ -73,7 +74,7 @@
         const { bounds, router } = settings;
         this.lifeCycle = new LifeCycle(logger, stopPartMilliseconds);
         this.configuration = new ConfigurationInForce(logger.withLabel("configuration"));
-        this.registry = new ServerRegistry(logger.withLabel("registry"));
+        this.registry = new ServerRegistry(bounds.drainMilliseconds * leavingUseShare, logger.withLabel("registry"));
         const holder = `${router.name}/${process.pid}/${
             Math.floor(random.next() * Number.MAX_SAFE_INTEGER).toString(36)
         }`;
@@ -89,7 +90,7 @@
             platform.store,
             platform.layout.routerKeyPrefix,
             router.name,
-            formatSocketAddress(settings.listen.peers ?? settings.listen.callers),
+            formatSocketAddress(settings.listen.peers),
             logger.withLabel("routers"),
         );
         const contents = new StoreContents(
@@ -150,14 +151,18 @@
         }, this.handler.handle);
         this.callers.maxConnections = Math.floor(settings.machine.maximumDescriptors * reservedDescriptorShare);
         this.readiness = createServer((request, response) => this.answerReadiness(request, response));
-        const loop = new PlacementLoop(
-            this.registry,
-            this.configuration,
+        const loop = new PlacementLoop({
+            registry: this.registry,
+            configuration: this.configuration,
             leadership,
-            new ZoneLayerPlanner(),
-            new HttpServerControl(platform.dialect),
-            logger.withLabel("placement"),
-        );
+            suspicions,
+            planner: new ZoneLayerPlanner(),
+            control: new HttpServerControl(platform.dialect),
+            notices: new HttpNoticeSender(() => routers.others, logger.withLabel("notices")),
+            routerName: router.name,
+            logger: logger.withLabel("placement"),
+        });
+        const peers = createNoticeServer(notice => this.registry.applyNotice(notice), logger.withLabel("notices"));
         this.configuration.changes.observe(configuration => {
             this.version = new GatewayVersion(configuration);
             this.callers.headersTimeout = configuration.limits.headerTimeoutMilliseconds;
@@ -165,6 +170,7 @@
         }).catch((error: unknown) => logger.error("configuration changes ended", { error: String(error) }));
         this.lifeCycle.add(listening("caller listener", this.callers, settings.listen.callers));
         this.lifeCycle.add(listening("readiness listener", this.readiness, settings.listen.readiness));
+        this.lifeCycle.add(listening("peer listener", peers, settings.listen.peers));
         this.lifeCycle.add(follower);
         this.lifeCycle.add(routers);
         this.lifeCycle.add(leadership);
--- a/src/process/gateway/layer-placement/placement-leadership.ts
+++ b/src/process/gateway/layer-placement/placement-leadership.ts
@@ -1,6 +1,8 @@
 /**
- * Which router orders model engines: the one whose key, under a lease, lies in the platform's store. A router that was
- * suspended finds out by the wall clock, which goes on while the monotonic clock stands still, and steps down.
+ * Which router orders model engines: the one whose key, under a lease, lies in the platform's store. While the store is
+ * away nobody else can take the lease, so its holder goes on for a bounded time; each order names the engine's state that
+ * it was made for, so that a second leader's order cannot take effect on top of it. A router that was suspended finds out
+ * by the wall clock, which goes on while the monotonic clock stands still, and stops until the store has confirmed it.
  */
 import { delay, monotonicNow } from "../../../common/clock.js";
 import type { Managed } from "../../../common/life-cycle.js";
@@ -14,6 +16,10 @@
 const leaseMilliseconds = 3_000;
 /** Two renewals may fail before the lease ends. */
 const renewalsPerLease = 3;
+/** Goes beyond the longest outage of the store that the users describe as common, 9 s. */
+const caretakerMilliseconds = 12_000;
+/** A difference between the clocks that tells of a suspension, or of a step of the wall clock. */
+const clockToleranceMilliseconds = 1_500;
 /** Spreads the attempts of all routers, so that most see the winner's key before they try. */
 const maximumAttemptDelayMilliseconds = 500;
 
@@ -158,7 +164,9 @@
     }
 
     private hasLapsed(lease: HeldLease): boolean {
-        return monotonicNow() - lease.renewedAt >= this.timeToLive
-            || Date.now() - lease.renewedAtWallClock >= this.timeToLive;
+        const elapsed = monotonicNow() - lease.renewedAt;
+        const elapsedOnWall = Date.now() - lease.renewedAtWallClock;
+        return elapsed >= this.timeToLive + caretakerMilliseconds
+            || Math.abs(elapsedOnWall - elapsed) >= clockToleranceMilliseconds;
     }
 }
--- a/src/process/gateway/layer-placement/placement-loop.ts
+++ b/src/process/gateway/layer-placement/placement-loop.ts
@@ -1,17 +1,22 @@
 /**
- * Keeps the layers of every model where the planner wants them: plans after each change of the registry, orders what is
- * missing, and counts on nothing that an engine has not itself confirmed. Only the router that leads placement orders.
+ * Keeps the layers of every model where the planner wants them: plans after each change of what is known, orders what is
+ * missing, and counts on nothing that an engine has not itself confirmed. Only the router that leads placement orders; it
+ * tells the others at once what engines hold, so that they need not wait for the registry.
  */
 import { monotonicNow } from "../../../common/clock.js";
 import type { Managed } from "../../../common/life-cycle.js";
 import type { Logger } from "../../../common/logger.js";
 import type { EngineProfile } from "../../../domain/gateway/configuration.js";
+import type { NoticeSender, ServerNotice } from "../../../domain/gateway/placement-notice.js";
 import type { ServerControl } from "../../../domain/gateway/server-control.js";
 import { OrderOutcome, type ServerEntry } from "../../../domain/gateway/server-entry.js";
-import { formatLayerRange, layerCount, type LayerRange, layerRangesEqual } from "../../../domain/layers.js";
+import { formatLayerRange, layerCount, type LayerRange } from "../../../domain/layers.js";
 import type { ConfigurationInForce } from "../configuration-in-force.js";
 import type { ServerRegistry } from "../server-registry.js";
+import type { ServerSuspicions } from "../server-suspicions.js";
+import { EngineView } from "./engine-view.js";
 import { layersThatFit } from "./layer-capacity.js";
+import { findStandbyServers } from "./standby-servers.js";
 import type { LayerPlanner, PlannedServer } from "./types.js";
 
 /**
@@ -21,43 +26,43 @@
 const comfortableReserve = 0.27;
 /** Memory that must be left for a request to run at all: a few prompts of usual size. */
 const tightReserve = 0.06;
-/** How often the loop looks for orders without effect. */
-const reviewMilliseconds = 500;
+/** How often the loop looks at orders and suspects. */
+const reviewMilliseconds = 250;
+/** Every so many reviews the leader repeats what it knows to the other routers. */
+const reviewsPerNotice = 4;
 /** The registry is taken as complete once it has not changed for this long at a first start. */
 const settleMilliseconds = 1_500;
-/** An order is asked about when its load takes this much longer than expected. */
-const orderSlackMilliseconds = 2_000;
 const millisecondsPerSecond = 1_000;
 
 export interface LeadershipSource {
     readonly leads: boolean;
 }
 
-interface PendingOrder {
-    readonly range: LayerRange;
-    /** When the range should be held. */
-    readonly expectedAt: number;
-    readonly bornAt: number | undefined;
+export interface PlacementLoopParts {
+    readonly registry: ServerRegistry;
+    readonly configuration: ConfigurationInForce;
+    readonly leadership: LeadershipSource;
+    readonly suspicions: ServerSuspicions;
+    readonly planner: LayerPlanner;
+    readonly control: ServerControl;
+    readonly notices: NoticeSender;
+    /** Names this router in notices. */
+    readonly routerName: string;
+    readonly logger: Logger;
 }
 
 export class PlacementLoop implements Managed {
     readonly name = "layer placement";
-    private readonly pending = new Map<string, PendingOrder>();
+    private readonly views = new Map<string, EngineView>();
     private timer: ReturnType<typeof setInterval> | undefined;
     private lastChangeAt = monotonicNow();
+    private reviews = 0;
     private unsubscribe: (() => void) | undefined;
 
-    constructor(
-        private readonly registry: ServerRegistry,
-        private readonly configuration: ConfigurationInForce,
-        private readonly leadership: LeadershipSource,
-        private readonly planner: LayerPlanner,
-        private readonly control: ServerControl,
-        private readonly logger: Logger,
-    ) {}
+    constructor(private readonly parts: PlacementLoopParts) {}
 
     async start(): Promise<void> {
-        this.unsubscribe = this.registry.onChange(() => {
+        this.unsubscribe = this.parts.registry.onChange(() => {
             this.lastChangeAt = monotonicNow();
             this.review();
         });
@@ -70,94 +75,144 @@
     }
 
     private review(): void {
-        if (!this.leadership.leads) {
-            this.pending.clear();
+        if (!this.parts.leadership.leads) {
+            this.views.clear();
             return;
         }
-        for (const service of this.configuration.current?.services.values() ?? []) {
+        this.reviews++;
+        const present = new Set<string>();
+        for (const service of this.parts.configuration.current?.services.values() ?? []) {
             if (service.engine !== undefined) {
-                this.reviewService(service.name, service.engine);
+                this.reviewService(service.name, service.engine).forEach(id => present.add(id));
             }
         }
+        [...this.views.keys()].filter(id => !present.has(id)).forEach(id => this.views.delete(id));
+        if (this.reviews % reviewsPerNotice === 0) {
+            this.sendNotice();
+        }
     }
 
-    private reviewService(service: string, engine: EngineProfile): void {
-        const servers = this.registry.active(service);
-        this.settlePending(servers);
-        const nothingHeld = servers.every(({ layers }) => layers === undefined) && this.pending.size === 0;
-        if (nothingHeld && monotonicNow() - this.lastChangeAt < settleMilliseconds) {
-            return;
+    /** IDs of the service's servers. */
+    private reviewService(service: string, engine: EngineProfile): string[] {
+        const servers = this.parts.registry.registered(service);
+        const views = servers.map(server => this.viewOf(server));
+        views.filter(view => view.needsReport(this.parts.suspicions.isSuspected(view.server.id))).forEach(view =>
+            void this.askForReport(view)
+        );
+        const nothingHeld = views.every(view => view.range === undefined);
+        if (!nothingHeld || monotonicNow() - this.lastChangeAt >= settleMilliseconds) {
+            this.planService(views.filter(view => !view.lost), engine);
         }
-        const planned = servers.flatMap(server => this.describe(server, engine));
-        const changes = this.planner.plan(planned, engine.layerCount);
-        for (const [id, range] of changes) {
-            const server = servers.find(entry => entry.id === id)!;
-            void this.order(server, range, engine);
+        return servers.map(({ id }) => id);
+    }
+
+    private planService(views: readonly EngineView[], engine: EngineProfile): void {
+        const holders = views.flatMap(({ server: { id, availabilityZone }, range }) =>
+            range === undefined ? [] : [{ id, availabilityZone, range }]
+        );
+        const standby = findStandbyServers(holders, engine.layerCount);
+        const planned = views.flatMap(view => describe(view, engine, standby.has(view.server.id)));
+        for (const [id, range] of this.parts.planner.plan(planned, engine.layerCount)) {
+            void this.order(this.views.get(id)!, range, engine);
         }
     }
 
-    /** Forgets orders that have been carried out, whose engine has restarted, or that are long overdue. */
-    private settlePending(servers: readonly ServerEntry[]): void {
-        const now = monotonicNow();
-        for (const [id, order] of this.pending) {
-            const server = servers.find(entry => entry.id === id);
-            const done = server?.layers !== undefined && layerRangesEqual(server.layers, order.range);
-            const overdue = now > order.expectedAt;
-            if (server === undefined || done || overdue || server.bornAt !== order.bornAt) {
-                this.pending.delete(id);
-                if (overdue && !done && server !== undefined) {
-                    this.logger.warn("order without effect", { server: id, layers: formatLayerRange(order.range) });
-                }
-            }
+    private viewOf(server: ServerEntry): EngineView {
+        let view = this.views.get(server.id);
+        if (view === undefined || view.server.bornAt !== server.bornAt) {
+            view = new EngineView(server, this.parts.logger);
+            this.views.set(server.id, view);
         }
+        view.updateEntry(server);
+        return view;
     }
 
-    private describe(server: ServerEntry, engine: EngineProfile): PlannedServer[] {
-        const kind = engine.kinds.get(server.kind ?? "");
-        if (kind === undefined) {
-            return [];
+    private async askForReport(view: EngineView): Promise<void> {
+        view.reportAsked();
+        const lostBefore = view.lost;
+        const rangeBefore = view.holds;
+        try {
+            view.applyReport(await this.parts.control.readReport(view.server));
+        }
+        catch (error) {
+            view.reportFailed(String(error));
+        }
+        if (view.lost !== lostBefore || view.holds !== rangeBefore) {
+            this.sendNotice();
         }
-        return [{
-            id: server.id,
-            availabilityZone: server.availabilityZone,
-            comfortableLayers: layersThatFit(engine, kind, comfortableReserve),
-            maximumLayers: layersThatFit(engine, kind, tightReserve),
-            stepFactor: kind.stepFactor,
-            range: this.pending.get(server.id)?.range ?? server.layers,
-        }];
     }
 
-    private async order(server: ServerEntry, range: LayerRange, engine: EngineProfile): Promise<void> {
+    private async order(view: EngineView, range: LayerRange, engine: EngineProfile): Promise<void> {
         const loadMilliseconds = (engine.loadSeconds * millisecondsPerSecond * layerCount(range)) / engine.layerCount;
-        const expectedAt = monotonicNow() + 2 * loadMilliseconds + orderSlackMilliseconds;
-        const order = { range, expectedAt, bornAt: server.bornAt };
-        this.pending.set(server.id, order);
+        if (!view.beginOrder(range, loadMilliseconds)) {
+            return;
+        }
+        const { server } = view;
+        const before = view.holds;
         try {
-            const report = await this.control.readReport(server);
-            if (!this.leadership.leads || this.pending.get(server.id) !== order) {
+            const report = await this.parts.control.readReport(server);
+            view.applyReport(report);
+            if (!this.parts.leadership.leads || !view.isOrdered(range) || report.busy) {
+                view.cancelOrder(range);
                 return;
             }
-            const outcome = await this.control.placeLayers(server, range, report.ordersBegun);
-            this.logger.decision({
-                kind: "place-layers",
-                chosen: server.id,
-                over: [],
-                reason: `layers ${formatLayerRange(range)}`,
-                configurationVersion: this.configuration.current?.version ?? 0,
-                fields: {
-                    outcome,
-                    before: server.layers === undefined ? undefined : formatLayerRange(server.layers),
-                    ordersBegun: report.ordersBegun,
-                    expectedLoadMilliseconds: Math.round(loadMilliseconds),
-                },
-            });
-            if (outcome === OrderOutcome.conflict || outcome === OrderOutcome.refused) {
-                this.pending.delete(server.id);
+            const outcome = await this.parts.control.placeLayers(server, range, report.ordersBegun);
+            this.logOrder(view, range, outcome, before, report.ordersBegun);
+            view.applyOutcome(range, outcome);
+            if (outcome === OrderOutcome.begun && before !== undefined) {
+                this.sendNotice();
             }
         }
         catch (error) {
-            // Without an answer the order may still be carried out; it stays pending until its load is overdue.
-            this.logger.warn("order without answer", { server: server.id, error: String(error) });
+            // Without an answer the order may still be carried out; reports tell.
+            this.parts.logger.warn("order without answer", { server: server.id, error: String(error) });
         }
     }
+
+    private logOrder(
+        view: EngineView,
+        range: LayerRange,
+        outcome: OrderOutcome,
+        before: LayerRange | undefined,
+        ordersBegun: number,
+    ): void {
+        this.parts.logger.decision({
+            kind: "place-layers",
+            chosen: view.server.id,
+            over: [],
+            reason: `layers ${formatLayerRange(range)}`,
+            configurationVersion: this.parts.configuration.current?.version ?? 0,
+            fields: { outcome, before: before === undefined ? undefined : formatLayerRange(before), ordersBegun },
+        });
+    }
+
+    /** Tells all routers of servers whose state differs from the registry's. */
+    private sendNotice(): void {
+        const servers: ServerNotice[] = [...this.views.values()]
+            .filter(view => view.differsFromRegistry)
+            .map(({ server, holds, lost }) => ({ id: server.id, bornAt: server.bornAt, layers: holds, lost }));
+        if (servers.length === 0) {
+            return;
+        }
+        const notice = { sender: this.parts.routerName, servers };
+        this.parts.registry.applyNotice(notice);
+        this.parts.notices.send(notice);
+    }
+}
+
+function describe(view: EngineView, engine: EngineProfile, standby: boolean): PlannedServer[] {
+    const kind = engine.kinds.get(view.server.kind ?? "");
+    if (kind === undefined) {
+        return [];
+    }
+    return [{
+        id: view.server.id,
+        availabilityZone: view.server.availabilityZone,
+        comfortableLayers: layersThatFit(engine, kind, comfortableReserve),
+        maximumLayers: layersThatFit(engine, kind, tightReserve),
+        stepFactor: kind.stepFactor,
+        standby,
+        ordered: view.ordering,
+        range: view.range,
+    }];
 }
--- a/src/process/gateway/layer-placement/types.ts
+++ b/src/process/gateway/layer-placement/types.ts
@@ -11,6 +11,10 @@
     readonly maximumLayers: number;
     /** Time of a token step, relative to other kinds. */
     readonly stepFactor: number;
+    /** Others hold its layers too, and requests pass it over. */
+    readonly standby: boolean;
+    /** It carries out an order and takes no other. */
+    readonly ordered: boolean;
     readonly range: LayerRange | undefined;
 }
 
--- a/src/process/gateway/layer-placement/zone-layer-planner.ts
+++ b/src/process/gateway/layer-placement/zone-layer-planner.ts
@@ -85,9 +85,9 @@
 
     /** Servers that hold nothing, or only layers that others hold too. */
     private spareServers(): PlannedServer[] {
-        return this.servers.filter(({ id, comfortableLayers }) => {
+        return this.servers.filter(({ id, comfortableLayers, ordered }) => {
             const range = this.ranges.get(id);
-            return comfortableLayers > 0 && (range === undefined || this.coverage.isRedundant(range));
+            return !ordered && comfortableLayers > 0 && (range === undefined || this.coverage.isRedundant(range));
         });
     }
 
@@ -97,7 +97,7 @@
             const range = this.ranges.get(server.id);
             const limit = tight ? server.maximumLayers : server.comfortableLayers;
             const room = range === undefined ? 0 : limit - (range.last - range.first + 1);
-            if (range === undefined || room <= 0) {
+            if (range === undefined || server.ordered || room <= 0) {
                 continue;
             }
             if (range.last + 1 === gap.first) {
@@ -114,7 +114,9 @@
 
     private doubleWithIdle(): void {
         const idle = this.servers
-            .filter(({ id, comfortableLayers }) => this.ranges.get(id) === undefined && comfortableLayers > 0)
+            .filter(({ id, comfortableLayers, ordered }) =>
+                !ordered && this.ranges.get(id) === undefined && comfortableLayers > 0
+            )
             .sort((left, right) => right.comfortableLayers - left.comfortableLayers || compareIds(left, right));
         for (const server of idle) {
             const holders = [...this.ranges.values()].filter(range => range !== undefined);
@@ -130,7 +132,7 @@
     }
 }
 
-/** The smallest server that fills the gap alone, else the largest; idle ones and faster ones first. */
+/** Servers that fill the gap alone come first, then idle ones and standbys, then the smallest that does, else the largest. */
 function compareForGap(
     left: PlannedServer,
     right: PlannedServer,
@@ -146,7 +148,8 @@
         ? left.comfortableLayers - right.comfortableLayers
         : right.comfortableLayers - left.comfortableLayers;
     const byIdle = Number(ranges.get(left.id) !== undefined) - Number(ranges.get(right.id) !== undefined);
-    return bySize || byIdle || left.stepFactor - right.stepFactor || compareIds(left, right);
+    const byStandby = Number(right.standby) - Number(left.standby);
+    return byIdle || byStandby || bySize || left.stepFactor - right.stepFactor || compareIds(left, right);
 }
 
 function compareIds(left: PlannedServer, right: PlannedServer): number {
--- a/src/process/gateway/settings.ts
+++ b/src/process/gateway/settings.ts
@@ -15,10 +15,9 @@
     listen: z.object({
         callers: address(),
         readiness: address(),
-        peers: z.nullish(address()),
+        peers: address(),
         metrics: z.nullish(address()),
     }),
-    seeds: z.nullish(z.array(address())),
     store: z.object({ address: address(), minimumLeaseMilliseconds: positive() }),
     machine: z.object({ maximumDescriptors: positive(), memoryMegabytes: positive() }),
     bounds: z.object({
--- a/src/process/gateway/store-contents.ts
+++ b/src/process/gateway/store-contents.ts
@@ -24,7 +24,7 @@
         private readonly logger: Logger,
     ) {}
 
-    replaceAll(items: readonly StoredItem[], storeRevision: number): void {
+    replaceAll(items: readonly StoredItem[], storeRevision: number, afterOutage: boolean): void {
         const entries = new Map<string, { entry: ServerEntry; revision: number; }>();
         const routers = new Map<string, string>();
         for (const item of items) {
@@ -42,7 +42,7 @@
         if (configuration !== undefined) {
             this.offerConfiguration(configuration.value, configuration.revision);
         }
-        this.registry.replaceAll(entries, storeRevision);
+        this.registry.replaceAll({ entries, revision: storeRevision, afterOutage });
         this.routers.replaceAll(routers);
         this.leader.leaderKeyChanged(items.find(({ key }) => key === this.layout.placementLeaderKey)?.value);
     }
--- a/src/process/gateway/store-follower.ts
+++ b/src/process/gateway/store-follower.ts
@@ -13,8 +13,8 @@
 
 /** Receives what the store holds. */
 export interface StoreObserver {
-    /** Everything under the prefix, as of the revision; whatever is not in it does not exist. */
-    replaceAll(items: readonly StoredItem[], storeRevision: number): void;
+    /** Everything under the prefix, as of the revision; what is not in it does not exist, or lapsed in an outage. */
+    replaceAll(items: readonly StoredItem[], storeRevision: number, afterOutage: boolean): void;
     applyChanges(changes: readonly ItemChange[], storeRevision: number): void;
 }
 
@@ -98,7 +98,7 @@
             page = await this.store.readPage(this.prefix, items.at(-1)?.key);
             items.push(...page.items);
         }
-        this.observer.replaceAll(items, storeRevision);
+        this.observer.replaceAll(items, storeRevision, this.failedSince !== undefined);
         this.revision = storeRevision;
     }
 
