--- a/src/common/logger.ts
+++ b/src/common/logger.ts
@@ -83,6 +83,8 @@
     const formatEntry = format === LogFormat.json ? formatJson : formatPretty;
     const consola = createConsola({
         level: LogLevel[level],
+        // Lines that differ only in their fields are no repetitions.
+        throttle: 0,
         reporters: [{ log: entry => write(formatEntry(entry)) }],
     });
     return new ConsolaLogger(consola, label);
--- a/src/process/gateway/layer-placement/placement-loop.ts
+++ b/src/process/gateway/layer-placement/placement-loop.ts
@@ -100,7 +100,9 @@
             void this.askForReport(view)
         );
         const nothingHeld = views.every(view => view.range === undefined);
-        if (!nothingHeld || monotonicNow() - this.lastChangeAt >= settleMilliseconds) {
+        const settled = this.parts.registry.settled
+            && (!nothingHeld || monotonicNow() - this.lastChangeAt >= settleMilliseconds);
+        if (settled) {
             this.planService(views.filter(view => !view.lost), engine);
         }
         return servers.map(({ id }) => id);
--- a/src/process/gateway/server-registry.ts
+++ b/src/process/gateway/server-registry.ts
@@ -41,6 +41,8 @@
 
 /** Servers that have gone are remembered this long, for those who still wait for an answer of theirs. */
 const memoryOfGoneMilliseconds = 10_000;
+/** Entries that lapsed in an outage are back within about two seconds of the store's return (the users' letter). */
+const settleMilliseconds = 2_500;
 /** The leader repeats its notices every second; after three that are missing, the registry is believed again. */
 const noticeLifeMilliseconds = 3_000;
 
@@ -49,6 +51,7 @@
     private readonly notices = new Map<string, RetainedNotice>();
     private readonly listeners = new Set<() => void>();
     private complete = false;
+    private settlingUntil = Infinity;
     private changeCount = 0;
 
     /** Entries that lapsed during an outage are taken as present for the given time after the first full read. */
@@ -59,6 +62,11 @@
         return this.complete;
     }
 
+    /** False for a while after the first read and after outages, in which servers are still registering again. */
+    get settled(): boolean {
+        return monotonicNow() >= this.settlingUntil;
+    }
+
     /** Rises with each change. */
     get generation(): number {
         return this.changeCount;
@@ -156,6 +164,9 @@
                 this.remove(id, revision, afterOutage);
             }
         }
+        if (!this.complete || afterOutage) {
+            this.settlingUntil = monotonicNow() + settleMilliseconds;
+        }
         this.complete = true;
         this.notify();
     }
--- a/src/request/gateway/gateway-handler.ts
+++ b/src/request/gateway/gateway-handler.ts
@@ -18,6 +18,7 @@
 import type { GatewayVersion } from "../../version/gateway/gateway-version.js";
 import { CallerResponse } from "./caller-response.js";
 import type { PlainForwarder } from "./plain-forwarder.js";
+import { waitFor } from "./bounded-wait.js";
 import type { StreamForwarder } from "./stream-forwarder.js";
 import type { GatewayRequest } from "./types.js";
 
@@ -34,7 +35,7 @@
 }
 
 /** A router that has just started knows the configuration after about this time. */
-const retryAfterStartSeconds = 0.5;
+const retryAfterStartSeconds = 2;
 const highestPriority = 9;
 const bearerPattern = /^Bearer (.+)$/i;
 
@@ -79,10 +80,7 @@
         receivedAt: number,
         callerGone: AbortSignal,
     ): Promise<void> {
-        const version = this.parts.currentVersion();
-        if (version === undefined) {
-            throw new ConfigurationMissingError(retryAfterStartSeconds);
-        }
+        const version = await this.waitForVersion(message, callerGone);
         const request = await this.readRequest(message, version, receivedAt, callerGone);
         const service = version.configuration.services.get(request.service);
         if (service === undefined) {
@@ -96,6 +94,16 @@
         }
     }
 
+    /** A router that has just started is about to know the configuration; callers wait for it a part of their time. */
+    private async waitForVersion(message: IncomingMessage, callerGone: AbortSignal): Promise<GatewayVersion> {
+        const patience = Number(headerText(message, this.parts.dialect.headers.deadline) ?? 0);
+        const version = await waitFor(() => this.parts.currentVersion(), patience || 0, callerGone);
+        if (version === undefined) {
+            throw new ConfigurationMissingError(retryAfterStartSeconds);
+        }
+        return version;
+    }
+
     private async readRequest(
         message: IncomingMessage,
         version: GatewayVersion,
--- a/src/request/gateway/stream-forwarder.ts
+++ b/src/request/gateway/stream-forwarder.ts
@@ -13,6 +13,7 @@
 import type { ServerLoad } from "../../process/gateway/server-load.js";
 import type { ServerRegistry } from "../../process/gateway/server-registry.js";
 import type { ServerSuspicions } from "../../process/gateway/server-suspicions.js";
+import { waitFor } from "./bounded-wait.js";
 import type { CallerResponse } from "./caller-response.js";
 import type { GatewayHeaders } from "./headers.js";
 import type { LayerPathChooser } from "./layer-path-chooser.js";
@@ -35,7 +36,7 @@
 /** Servers that may refuse a request before its caller is told to come back. */
 const maximumRefusals = 3;
 /** Without a path, about the time in which lost layers are loaded again. */
-const retryAfterSeconds = 1;
+const retryAfterSeconds = 2;
 
 export class StreamForwarder {
     constructor(private readonly parts: StreamForwarderParts) {}
@@ -65,7 +66,7 @@
     async run(): Promise<void> {
         this.parts.retries.noteRequest(this.request.service);
         for (;;) {
-            const path = this.choosePath();
+            const path = await this.choosePath();
             const result = await this.attempt(path);
             this.log(path, result);
             if (this.request.callerGone.aborted) {
@@ -82,11 +83,13 @@
         }
     }
 
-    private choosePath(): LayerPath {
-        const size = requestSize(this.request, this.engine);
-        const { service } = this.request;
-        const path = this.parts.paths.choose(service, this.engine, size, this.avoided)
-            ?? (this.avoided.size > 0 ? this.parts.paths.choose(service, this.engine, size, new Set()) : undefined);
+    private async choosePath(): Promise<LayerPath> {
+        const { request, engine, parts } = this;
+        const size = requestSize(request, engine);
+        const choose = () => parts.paths.choose(request.service, engine, size, this.avoided);
+        const path = choose()
+            ?? parts.paths.choose(request.service, engine, size, new Set())
+            ?? await waitFor(choose, request.deadline - monotonicNow(), request.callerGone);
         if (path === undefined) {
             this.giveUp("no path through all layers");
         }
