Wait for the outcome of a doubtful claim of the placement key

Cause: found by a unit test: after a commit without answer the router claimed again under another lease and then did not recognise its own key. Before: no leader until the lease lapsed. After: it leads once the key is seen.

--- a/src/process/gateway/layer-placement/placement-leadership.ts
+++ b/src/process/gateway/layer-placement/placement-leadership.ts
@@ -9,7 +9,7 @@
 import type { Logger } from "../../../common/logger.js";
 import type { RandomSource } from "../../../common/random.js";
 import type { MetadataStore } from "../../../domain/gateway/metadata-store.js";
-import { LeaseLostError } from "../../../errors/index.js";
+import { LeaseLostError, PlatformUnavailableError } from "../../../errors/index.js";
 import type { LeaderKeyObserver } from "../store-contents.js";
 
 /** Bounds the time without a leader after a crash. */
@@ -98,10 +98,18 @@
             }
             catch (error) {
                 this.logger.warn("could not claim the placement key", { error: String(error) });
+                await this.waitForDoubtfulClaim(error);
             }
         }
     }
 
+    /** A claim without answer may have succeeded: the store shows the key soon, or its lease ends by itself. */
+    private async waitForDoubtfulClaim(error: unknown): Promise<void> {
+        if (error instanceof PlatformUnavailableError && error.mayHaveTakenEffect) {
+            await delay(this.timeToLive, this.stopping.signal);
+        }
+    }
+
     private async claim(): Promise<void> {
         const sentAt = monotonicNow();
         const sentAtWallClock = Date.now();
--- /dev/null
+++ b/test/process/gateway/fixtures.ts
@@ -0,0 +1,75 @@
+/** Small values for the gateway's tests. */
+import type { EngineProfile, GatewayConfiguration, GatewayRoute } from "../../../src/domain/gateway/configuration.js";
+import { RouteKind } from "../../../src/domain/gateway/configuration.js";
+import type { ServerEntry } from "../../../src/domain/gateway/server-entry.js";
+
+export function serverEntry(id: string, changes: Partial<ServerEntry> = {}): ServerEntry {
+    return {
+        id,
+        service: "pool",
+        address: { host: "127.0.0.1", port: 9 },
+        availabilityZone: "north",
+        bornAt: 1,
+        slots: 10,
+        draining: false,
+        kind: "small",
+        layers: undefined,
+        ...changes,
+    };
+}
+
+export const engineProfile: EngineProfile = {
+    layerCount: 20,
+    layerMegabytes: 1_000,
+    tokenCacheBytes: 200_000,
+    stepMilliseconds: 1,
+    stepMillisecondsPerRequest: 0.01,
+    stepMillisecondsPerThousandTokens: 0.01,
+    readTokensPerMillisecond: 100,
+    slots: 100,
+    activationBytes: 40_000,
+    zoneLinkMegabitsPerSecond: 13_000,
+    concurrentLoads: 4,
+    loadSeconds: 10,
+    usualPromptTokens: 700,
+    usualAnswerTokens: 150,
+    reportLagMilliseconds: 200,
+    kinds: new Map([
+        ["small", { name: "small", memoryMegabytes: 8_000, stepFactor: 10, readFactor: 10 }],
+        ["large", { name: "large", memoryMegabytes: 20_000, stepFactor: 2, readFactor: 2 }],
+    ]),
+};
+
+export function gatewayRoute(changes: Partial<GatewayRoute> = {}): GatewayRoute {
+    return {
+        name: "route",
+        host: "yard.example",
+        pathPrefix: "/reports/",
+        kind: RouteKind.idempotent,
+        timeoutMilliseconds: 1_000,
+        targetLatencyMilliseconds: 300,
+        eventGapMilliseconds: undefined,
+        maximumAttempts: 2,
+        priority: 1,
+        shares: [{ service: "pool", weight: 1 }],
+        open: false,
+        resumable: false,
+        ...changes,
+    };
+}
+
+export function gatewayConfiguration(version: number, changes: Partial<GatewayConfiguration> = {}): GatewayConfiguration {
+    return {
+        version,
+        routes: [gatewayRoute()],
+        services: new Map([["pool", { name: "pool", maximumConnections: 100, engine: undefined }]]),
+        limits: {
+            maximumHeaderBytes: 16_384,
+            maximumBodyBytes: 1_000,
+            headerTimeoutMilliseconds: 3_000,
+            idleTimeoutMilliseconds: 15_000,
+        },
+        customers: [{ name: "haddow", keys: ["key-1"], priority: undefined }],
+        ...changes,
+    };
+}
--- /dev/null
+++ b/test/process/gateway/placement-leadership.test.ts
@@ -0,0 +1,119 @@
+import { beforeEach, describe, expect, jest, test } from "@jest/globals";
+import { SilentLogger } from "../../../src/common/logger.js";
+import { SeededRandom } from "../../../src/common/random.js";
+import type { ConditionalWrite, MetadataStore } from "../../../src/domain/gateway/metadata-store.js";
+import { LeaseLostError, PlatformUnavailableError } from "../../../src/errors/index.js";
+import { PlacementLeadership } from "../../../src/process/gateway/layer-placement/placement-leadership.js";
+
+/** One key under leases, with faults. */
+class LeaseStore implements Partial<MetadataStore> {
+    holder: string | undefined;
+    down = false;
+    loseCommitAnswer = false;
+    lostLeases = new Set<number>();
+    private nextLease = 1;
+
+    async grantLease(): Promise<number> {
+        this.check();
+        return this.nextLease++;
+    }
+
+    async commit(write: ConditionalWrite): Promise<boolean> {
+        this.check();
+        if (this.holder !== undefined) {
+            return false;
+        }
+        this.holder = write.writes[0]!.value.toString();
+        if (this.loseCommitAnswer) {
+            throw new PlatformUnavailableError("no answer", true);
+        }
+        return true;
+    }
+
+    async keepLease(lease: number): Promise<void> {
+        this.check();
+        if (this.lostLeases.has(lease)) {
+            throw new LeaseLostError(String(lease));
+        }
+    }
+
+    async endLease(): Promise<void> {
+        this.holder = undefined;
+    }
+
+    private check(): void {
+        if (this.down) {
+            throw new PlatformUnavailableError("down", false);
+        }
+    }
+}
+
+let store: LeaseStore;
+let leadership: PlacementLeadership;
+
+beforeEach(() => {
+    store = new LeaseStore();
+    leadership = new PlacementLeadership(
+        store as unknown as MetadataStore,
+        "leader",
+        "me",
+        1_000,
+        new SeededRandom(1),
+        new SilentLogger(),
+    );
+});
+
+describe("PlacementLeadership", () => {
+    test("leads once its key is in the store, and no longer than its lease", async () => {
+        leadership.leaderKeyChanged(undefined);
+        await jest.advanceTimersByTimeAsync(600);
+        expect(leadership.leads).toBe(true);
+        store.lostLeases.add(1);
+        await jest.advanceTimersByTimeAsync(1_100);
+        expect(leadership.leads).toBe(false);
+    });
+
+    test("goes on for a bounded time while the store is away", async () => {
+        leadership.leaderKeyChanged(undefined);
+        await jest.advanceTimersByTimeAsync(600);
+        store.down = true;
+        await jest.advanceTimersByTimeAsync(9_000);
+        expect(leadership.leads).toBe(true);
+        await jest.advanceTimersByTimeAsync(8_000);
+        expect(leadership.leads).toBe(false);
+    });
+
+    test("steps down when another router's key is seen", async () => {
+        leadership.leaderKeyChanged(undefined);
+        await jest.advanceTimersByTimeAsync(600);
+        leadership.leaderKeyChanged(Buffer.from("other"));
+        expect(leadership.leads).toBe(false);
+    });
+
+    test("after a suspension it does not lead until the store has confirmed the lease", async () => {
+        leadership.leaderKeyChanged(undefined);
+        await jest.advanceTimersByTimeAsync(600);
+        // The wall clock goes on while the monotonic clock stands still.
+        jest.setSystemTime(Date.now() + 5_000);
+        expect(leadership.leads).toBe(false);
+        await jest.advanceTimersByTimeAsync(1_100);
+        expect(leadership.leads).toBe(true);
+    });
+
+    test("a claim whose answer was lost counts once the key is seen", async () => {
+        store.loseCommitAnswer = true;
+        leadership.leaderKeyChanged(undefined);
+        await jest.advanceTimersByTimeAsync(600);
+        expect(leadership.leads).toBe(false);
+        leadership.leaderKeyChanged(Buffer.from("me"));
+        expect(leadership.leads).toBe(true);
+    });
+
+    test("gives the key up when it stops", async () => {
+        leadership.leaderKeyChanged(undefined);
+        await jest.advanceTimersByTimeAsync(600);
+        await leadership.stop();
+        expect(leadership.leads).toBe(false);
+        expect(store.holder).toBeUndefined();
+    });
+});
--- /dev/null
+++ b/test/process/gateway/store-follower.test.ts
@@ -0,0 +1,90 @@
+import { describe, expect, jest, test } from "@jest/globals";
+import { SilentLogger } from "../../../src/common/logger.js";
+import { SeededRandom } from "../../../src/common/random.js";
+import type { ChangeBatch, ItemPage, MetadataStore } from "../../../src/domain/gateway/metadata-store.js";
+import { HistoryLostError, PlatformUnavailableError } from "../../../src/errors/index.js";
+import { StoreFollower } from "../../../src/process/gateway/store-follower.js";
+
+/** Answers each call from a script; a call beyond it waits for good. */
+class ScriptedStore implements Partial<MetadataStore> {
+    readonly calls: string[] = [];
+
+    constructor(private readonly script: (ItemPage | ChangeBatch | Error)[]) {}
+
+    readPage(): Promise<ItemPage> {
+        this.calls.push("page");
+        return this.next() as Promise<ItemPage>;
+    }
+
+    readChanges(_prefix: string, afterRevision: number): Promise<ChangeBatch> {
+        this.calls.push(`changes ${afterRevision}`);
+        return this.next() as Promise<ChangeBatch>;
+    }
+
+    close(): void {}
+
+    private next(): Promise<unknown> {
+        const step = this.script.shift();
+        if (step === undefined) {
+            return new Promise(() => undefined);
+        }
+        return step instanceof Error ? Promise.reject(step) : Promise.resolve(step);
+    }
+}
+
+function follow(script: (ItemPage | ChangeBatch | Error)[]) {
+    const store = new ScriptedStore(script);
+    const seen: string[] = [];
+    const follower = new StoreFollower(
+        store as unknown as MetadataStore,
+        "",
+        {
+            replaceAll: (items, revision, afterOutage) => seen.push(`all ${items.length}@${revision} ${afterOutage}`),
+            applyChanges: changes => seen.push(`changes ${changes.map(({ revision }) => revision).join(",")}`),
+        },
+        new SeededRandom(1),
+        new SilentLogger(),
+    );
+    void follower.start();
+    return { store, seen, follower };
+}
+
+const page = (storeRevision: number): ItemPage => ({ items: [], hasMore: false, storeRevision });
+const change = (revision: number): ChangeBatch => ({
+    changes: [{ key: "k", revision, value: Buffer.from("v") }],
+    storeRevision: revision,
+});
+
+describe("StoreFollower", () => {
+    test("goes on from the last revision", async () => {
+        const { store, seen } = follow([page(5), change(7), { changes: [], storeRevision: 9 }]);
+        await jest.advanceTimersByTimeAsync(1_000);
+        expect(seen).toEqual(["all 0@5 false", "changes 7"]);
+        expect(store.calls).toEqual(["page", "changes 5", "changes 7", "changes 9"]);
+    });
+
+    test("reads everything again after a lost history, which is no outage", async () => {
+        const { seen } = follow([page(5), new HistoryLostError(5), page(20)]);
+        await jest.advanceTimersByTimeAsync(2_000);
+        expect(seen).toEqual(["all 0@5 false", "all 0@20 false"]);
+    });
+
+    test("reads everything again after a failure, since a waiting read may have missed changes", async () => {
+        const down = new PlatformUnavailableError("down", false);
+        const { store, seen, follower } = follow([page(5), down, down, page(30)]);
+        await jest.advanceTimersByTimeAsync(220);
+        expect(follower.unreachableSince).toBeDefined();
+        await jest.advanceTimersByTimeAsync(2_000);
+        expect(seen).toEqual(["all 0@5 false", "all 0@30 true"]);
+        expect(store.calls.filter(call => call.startsWith("changes"))).toEqual(["changes 5", "changes 30"]);
+        expect(follower.unreachableSince).toBeUndefined();
+    });
+
+    test("asks no more than two times a second while the store is away", async () => {
+        const failures = Array.from({ length: 100 }, () => new PlatformUnavailableError("down", false));
+        const { store } = follow(failures);
+        await jest.advanceTimersByTimeAsync(10_000);
+        expect(store.calls.length).toBeLessThanOrEqual(45);
+        expect(store.calls.length).toBeGreaterThanOrEqual(18);
+    });
+});
