--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -202,6 +202,7 @@
         this.callers.closeIdleConnections();
         while (this.handler.requestsInFlight > 0 && monotonicNow() - begunAt < grace) {
             await delay(stopReviewMilliseconds);
+            this.callers.closeIdleConnections();
         }
         this.logger.info("stopped", {
             requestsInFlight: this.handler.requestsInFlight,
--- a/src/request/gateway/gateway-handler.ts
+++ b/src/request/gateway/gateway-handler.ts
@@ -66,6 +66,12 @@
             }
         });
         serverResponse.on("error", () => callerGone.abort());
+        serverResponse.on("finish", () => {
+            // A response that began before the stop has not announced that its connection closes.
+            if (this.parts.closing()) {
+                message.socket.end();
+            }
+        });
         try {
             await this.answer(message, response, receivedAt, callerGone.signal);
         }
