--- /dev/null
+++ b/src/daemon/gateway/known-state.ts
@@ -0,0 +1,60 @@
+/** Composes what a gateway knows: the configuration, the registry and the fleet, all followed in the platform's store. */
+import type { Logger } from "../../common/logger.js";
+import type { RandomSource } from "../../common/random.js";
+import { formatSocketAddress } from "../../domain/gateway/server-entry.js";
+import { ConfigurationInForce } from "../../process/gateway/configuration-in-force.js";
+import { PlacementLeadership } from "../../process/gateway/layer-placement/placement-leadership.js";
+import { RouterDirectory } from "../../process/gateway/router-directory.js";
+import { ServerRegistry } from "../../process/gateway/server-registry.js";
+import type { GatewaySettings } from "../../process/gateway/settings.js";
+import { StoreContents } from "../../process/gateway/store-contents.js";
+import { StoreFollower } from "../../process/gateway/store-follower.js";
+import type { GatewayPlatform } from "./platform.js";
+
+/** Part of the drain bound in which a leaving server may still be used; the rest covers the way to it. */
+const leavingUseShare = 0.85;
+
+export interface KnownState {
+    readonly configuration: ConfigurationInForce;
+    readonly registry: ServerRegistry;
+    readonly routers: RouterDirectory;
+    readonly leadership: PlacementLeadership;
+    readonly follower: StoreFollower;
+    /** Time in which a leaving server may still be used. */
+    readonly leavingUseMilliseconds: number;
+}
+
+export function createKnownState(
+    settings: GatewaySettings,
+    { store, layout }: GatewayPlatform,
+    random: RandomSource,
+    logger: Logger,
+): KnownState {
+    const leavingUseMilliseconds = settings.bounds.drainMilliseconds * leavingUseShare;
+    const configuration = new ConfigurationInForce(logger.withLabel("configuration"));
+    const registry = new ServerRegistry(leavingUseMilliseconds, logger.withLabel("registry"));
+    const leadership = new PlacementLeadership(
+        store,
+        layout.placementLeaderKey,
+        holderName(settings.router.name, random),
+        settings.store.minimumLeaseMilliseconds,
+        random,
+        logger.withLabel("placement"),
+    );
+    const routers = new RouterDirectory(
+        store,
+        layout.routerKeyPrefix,
+        settings.router.name,
+        formatSocketAddress(settings.listen.peers),
+        logger.withLabel("routers"),
+    );
+    const storeLogger = logger.withLabel("store");
+    const contents = new StoreContents(layout, configuration, registry, routers, leadership, storeLogger);
+    const follower = new StoreFollower(store, layout.rootPrefix, contents, random, storeLogger);
+    return { configuration, registry, routers, leadership, follower, leavingUseMilliseconds };
+}
+
+/** Tells this start of the router from earlier ones, whose lease may still be running. */
+function holderName(router: string, random: RandomSource): string {
+    return `${router}/${Math.floor(random.next() * Number.MAX_SAFE_INTEGER).toString(36)}`;
+}
--- /dev/null
+++ b/src/daemon/gateway/request-path.ts
@@ -0,0 +1,99 @@
+/** Composes the way of a request through a gateway, and the placement of layers that shares its knowledge of servers. */
+import type { Logger } from "../../common/logger.js";
+import type { Metrics } from "../../common/metrics.js";
+import type { RandomSource } from "../../common/random.js";
+import { HttpServerControl } from "../../connection/gateway/http-server-control.js";
+import { HttpNoticeSender } from "../../connection/gateway/peer-notices.js";
+import { ConnectReachabilityCheck } from "../../connection/gateway/reachability.js";
+import { PlacementLoop } from "../../process/gateway/layer-placement/placement-loop.js";
+import { ZoneLayerPlanner } from "../../process/gateway/layer-placement/zone-layer-planner.js";
+import { RetryAllowance } from "../../process/gateway/retry-allowance.js";
+import { ServerLoad } from "../../process/gateway/server-load.js";
+import { ServerSuspicions } from "../../process/gateway/server-suspicions.js";
+import type { GatewaySettings } from "../../process/gateway/settings.js";
+import { GatewayHandler } from "../../request/gateway/gateway-handler.js";
+import { GatewayHeaders } from "../../request/gateway/headers.js";
+import { LayerPathChooser } from "../../request/gateway/layer-path-chooser.js";
+import { CheapestLayerPathFinder } from "../../request/gateway/layer-path-finder.js";
+import { PlainForwarder } from "../../request/gateway/plain-forwarder.js";
+import { LeastLoadedServerChooser } from "../../request/gateway/plain-server-chooser.js";
+import { StreamForwarder } from "../../request/gateway/stream-forwarder.js";
+import type { GatewayVersion } from "../../version/gateway/gateway-version.js";
+import type { KnownState } from "./known-state.js";
+import type { GatewayPlatform } from "./platform.js";
+
+const millisecondsPerSecond = 1_000;
+
+export interface RequestPathOptions {
+    readonly settings: GatewaySettings;
+    readonly platform: GatewayPlatform;
+    readonly state: KnownState;
+    currentVersion(): GatewayVersion | undefined;
+    /** Whether connections are to be closed after their next response. */
+    closing(): boolean;
+    readonly random: RandomSource;
+    readonly metrics: Metrics;
+    readonly logger: Logger;
+}
+
+export interface RequestPath {
+    readonly handler: GatewayHandler;
+    readonly paths: LayerPathChooser;
+    readonly placement: PlacementLoop;
+}
+
+export function createRequestPath(options: RequestPathOptions): RequestPath {
+    const { settings, state, random, metrics, logger } = options;
+    const { dialect } = options.platform;
+    const { registry, routers, leavingUseMilliseconds } = state;
+    const load = new ServerLoad();
+    const suspicions = new ServerSuspicions(logger.withLabel("suspicions"));
+    const control = new HttpServerControl(dialect);
+    const paths = new LayerPathChooser(registry, load, suspicions, new CheapestLayerPathFinder(random), {
+        homeZone: settings.router.availabilityZone,
+        leavingUseMilliseconds,
+        routerCount: () => routers.count,
+    });
+    const shared = {
+        dialect,
+        headers: new GatewayHeaders(dialect),
+        load,
+        suspicions,
+        retries: createRetryAllowance(settings, state),
+        metrics,
+        logger: logger.withLabel("request"),
+    };
+    const servers = new LeastLoadedServerChooser(registry, load, suspicions, random, leavingUseMilliseconds);
+    const reachability = new ConnectReachabilityCheck();
+    const handler = new GatewayHandler({
+        dialect,
+        currentVersion: () => options.currentVersion(),
+        closing: () => options.closing(),
+        plain: new PlainForwarder({ ...shared, servers }),
+        streams: new StreamForwarder({ ...shared, paths, registry, control, reachability }),
+        random,
+        metrics,
+        logger: shared.logger,
+    });
+    const placement = new PlacementLoop({
+        registry,
+        configuration: state.configuration,
+        leadership: state.leadership,
+        suspicions,
+        planner: new ZoneLayerPlanner(),
+        control,
+        notices: new HttpNoticeSender(() => routers.others, logger.withLabel("notices")),
+        routerName: settings.router.name,
+        logger: logger.withLabel("placement"),
+    });
+    return { handler, paths, placement };
+}
+
+function createRetryAllowance({ bounds }: GatewaySettings, { routers }: KnownState): RetryAllowance {
+    return new RetryAllowance({
+        ratio: bounds.retryRatio,
+        windowMilliseconds: bounds.retryWindowSeconds * millisecondsPerSecond,
+        extra: bounds.retryExtra,
+        routerCount: () => routers.recentMaximum,
+    });
+}
--- a/src/process/gateway/settings.ts
+++ b/src/process/gateway/settings.ts
@@ -16,7 +16,7 @@
         callers: address(),
         readiness: address(),
         peers: address(),
-        metrics: z.nullish(address()),
+        metrics: address(),
     }),
     store: z.object({ address: address(), minimumLeaseMilliseconds: positive() }),
     machine: z.object({ maximumDescriptors: positive(), memoryMegabytes: positive() }),
--- a/src/request/gateway/gateway-handler.ts
+++ b/src/request/gateway/gateway-handler.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { monotonicNow } from "../../common/clock.js";
 import type { Logger } from "../../common/logger.js";
+import type { Metrics } from "../../common/metrics.js";
 import type { RandomSource } from "../../common/random.js";
 import type { GatewayRoute } from "../../domain/gateway/configuration.js";
 import type { Dialect } from "../../domain/gateway/dialect.js";
@@ -31,6 +32,7 @@
     readonly plain: PlainForwarder;
     readonly streams: StreamForwarder;
     readonly random: RandomSource;
+    readonly metrics: Metrics;
     readonly logger: Logger;
 }
 
@@ -67,6 +69,10 @@
         });
         serverResponse.on("error", () => callerGone.abort());
         serverResponse.on("finish", () => {
+            const milliseconds = monotonicNow() - receivedAt;
+            this.parts.metrics.timing("pomelostall.gateway.request_milliseconds", milliseconds, {
+                status: String(serverResponse.statusCode),
+            });
             // A response that began before the stop has not announced that its connection closes.
             if (this.parts.closing()) {
                 message.socket.end();
@@ -181,6 +187,7 @@
         callerGone: AbortSignal,
     ): void {
         const error = cause instanceof PomelostallError ? cause : new InternalError("unexpected failure", cause);
+        this.parts.metrics.increment("pomelostall.gateway.failed_requests", 1, { code: error.code });
         this.parts.logger.info("request failed", {
             requestId: headerText(message, this.parts.dialect.headers.requestId),
             code: error.code,
--- a/src/request/gateway/plain-forwarder.ts
+++ b/src/request/gateway/plain-forwarder.ts
@@ -5,6 +5,7 @@
  */
 import { monotonicNow } from "../../common/clock.js";
 import type { Logger } from "../../common/logger.js";
+import type { Metrics } from "../../common/metrics.js";
 import { readAnswer, type WholeAnswer } from "../../connection/gateway/read-answer.js";
 import { RouteKind } from "../../domain/gateway/configuration.js";
 import type { Dialect } from "../../domain/gateway/dialect.js";
@@ -32,6 +33,7 @@
     readonly load: ServerLoad;
     readonly suspicions: ServerSuspicions;
     readonly retries: RetryAllowance;
+    readonly metrics: Metrics;
     readonly logger: Logger;
 }
 
@@ -155,6 +157,7 @@
         else if (!request.callerGone.aborted) {
             this.parts.suspicions.noteFailure(server.id, attempt.reason);
         }
+        this.parts.metrics.increment("pomelostall.gateway.service_attempts", 1, { outcome: attempt.verdict });
         this.parts.logger.decision({
             kind: "service-attempt",
             chosen: server.id,
--- a/src/request/gateway/stream-forwarder.ts
+++ b/src/request/gateway/stream-forwarder.ts
@@ -4,6 +4,7 @@
  */
 import { monotonicNow } from "../../common/clock.js";
 import type { Logger } from "../../common/logger.js";
+import type { Metrics } from "../../common/metrics.js";
 import type { ReachabilityCheck } from "../../connection/gateway/reachability.js";
 import type { EngineProfile, GatewayRoute } from "../../domain/gateway/configuration.js";
 import type { Dialect } from "../../domain/gateway/dialect.js";
@@ -35,6 +36,7 @@
     readonly retries: RetryAllowance;
     readonly reachability: ReachabilityCheck;
     readonly control: ServerControl;
+    readonly metrics: Metrics;
     readonly logger: Logger;
 }
 
@@ -188,6 +190,7 @@
             ? undefined
             : parts.paths.chooseReplacement(request.service, engine, size, path, lostIds);
         const outcome = replacement === undefined ? "no replacement" : await this.changePath(path, replacement);
+        parts.metrics.increment("pomelostall.gateway.lost_parts", 1, { replaced: String(isTaken(outcome)) });
         parts.logger.decision({
             kind: "replace-lost-part",
             chosen: replacement === undefined ? "" : formatPath(replacement),
@@ -197,7 +200,7 @@
             requestId: request.id,
             fields: { outcome, lastEventId: this.progress.lastEventId },
         });
-        if (outcome !== OrderOutcome.begun && outcome !== OrderOutcome.alreadyHeld && mayRepeat()) {
+        if (!isTaken(outcome) && mayRepeat()) {
             attempt.giveUp("a server of the path takes no connection", lost);
         }
     }
@@ -278,6 +281,7 @@
     }
 
     private log(path: LayerPath, result: AttemptResult): void {
+        this.parts.metrics.increment("pomelostall.gateway.stream_attempts", 1, { outcome: result.end });
         this.parts.logger.decision({
             kind: "stream-attempt",
             chosen: formatPath(path),
@@ -308,6 +312,10 @@
     };
 }
 
+function isTaken(outcome: string): boolean {
+    return outcome === OrderOutcome.begun || outcome === OrderOutcome.alreadyHeld;
+}
+
 function formatPath(path: LayerPath): string {
     return path.parts.map(({ server, layers }) => `${server.id}=${formatLayerRange(layers)}`).join(",");
 }
--- /dev/null
+++ b/test/platform/gateway-fixture.ts
@@ -0,0 +1,216 @@
+/** A gateway with the adapter of the users' platform, over stand-ins on loopback. */
+import { request, type IncomingHttpHeaders } from "node:http";
+import { createServer, type AddressInfo } from "node:net";
+import { decodeConfiguration } from "../../platform/decode-configuration.js";
+import { decodeServerEntry } from "../../platform/decode-server.js";
+import { platformDialect } from "../../platform/dialect.js";
+import {
+    configurationKey,
+    placementLeaderKey,
+    rootPrefix,
+    routerKeyPrefix,
+    serverKeyPrefix,
+} from "../../platform/keys.js";
+import { StoreClient } from "../../platform/store-client.js";
+import { SilentLogger } from "../../src/common/logger.js";
+import { Gateway } from "../../src/daemon/gateway/gateway.js";
+import { StandInBackendServer } from "./stand-ins/backend-server.js";
+import { StandInStore } from "./stand-ins/store.js";
+
+export interface Answer {
+    readonly status: number;
+    readonly headers: IncomingHttpHeaders;
+    readonly body: string;
+    /** Whether the body ended as the protocol demands. */
+    readonly complete: boolean;
+}
+
+const route = {
+    host: "yard.example",
+    timeout_ms: 1_000,
+    target_latency_ms: 300,
+    max_attempts: 2,
+    priority: 1,
+    public: false,
+};
+
+export const engine = {
+    slots: 10,
+    kv_token_bytes: 200_000,
+    models: [{ name: "m", load_s: 1 }],
+    step_ms: 1,
+    per_seq_ms: 0.01,
+    context_per_k: 0.01,
+    read_per_s: 100_000,
+    report_lag_ms: 200,
+    loads_at_once: 4,
+    usual: { prompt: 700, answer: 150 },
+    layers: 20,
+    layer_mb: 1_000,
+    act_bytes: 40_000,
+    pipe_mbps: 13_000,
+    kinds: [{ name: "small", mb: 20_000, pace: 10, read_x: 10 }],
+};
+
+export function configuration(version: number, changes: Record<string, unknown> = {}): Record<string, unknown> {
+    return {
+        version,
+        routes: [
+            { ...route, name: "look", path_prefix: "/look/", kind: "idempotent", service: "app" },
+            { ...route, name: "book", path_prefix: "/book/", kind: "non_idempotent", service: "app", max_attempts: 1 },
+            {
+                ...route,
+                name: "report",
+                path_prefix: "/report-text/",
+                kind: "streaming",
+                service: "pool",
+                stream_resume: true,
+                gap_aim_ms: 200,
+                timeout_ms: 5_000,
+            },
+        ],
+        services: [
+            { name: "app", health_path: "/health", max_connections: 100 },
+            { name: "pool", health_path: "/health", max_connections: 100, engine },
+        ],
+        limits: { max_header_bytes: 16_384, max_body_bytes: 2_000, header_timeout_ms: 3_000, idle_timeout_ms: 15_000 },
+        tenants: [{ name: "haddow", api_keys: ["key-1"] }],
+        ...changes,
+    };
+}
+
+export class GatewayFixture {
+    readonly store = new StandInStore();
+    readonly servers: StandInBackendServer[] = [];
+    private gateway: Gateway | undefined;
+    private callerPort = 0;
+    private readinessPort = 0;
+
+    /** Starts a gateway; the servers register before it. */
+    static async start(servers: readonly StandInBackendServer[], version?: number): Promise<GatewayFixture> {
+        const fixture = new GatewayFixture();
+        const address = await fixture.store.start();
+        for (const server of servers) {
+            await server.start();
+            fixture.servers.push(server);
+            fixture.register(server);
+        }
+        if (version !== undefined) {
+            fixture.store.put(configurationKey, configuration(version));
+        }
+        const [callers, readiness, peers, metrics] = await freePorts(4);
+        fixture.callerPort = callers!;
+        fixture.readinessPort = readiness!;
+        const local = (port: number) => ({ host: "127.0.0.1", port });
+        fixture.gateway = new Gateway({
+            router: { name: "edge-1", availabilityZone: "north", region: "land" },
+            listen: {
+                callers: local(callers!),
+                readiness: local(readiness!),
+                peers: local(peers!),
+                metrics: local(metrics!),
+            },
+            store: { address, minimumLeaseMilliseconds: 1_000 },
+            machine: { maximumDescriptors: 1_000, memoryMegabytes: 200 },
+            bounds: {
+                drainMilliseconds: 400,
+                shutdownGraceSeconds: 2,
+                configurationApplyMilliseconds: 2_000,
+                retryRatio: 0.2,
+                retryWindowSeconds: 10,
+                retryExtra: 100,
+                stallMilliseconds: 3_000,
+            },
+        }, {
+            store: new StoreClient(address),
+            layout: {
+                rootPrefix,
+                configurationKey,
+                serverKeyPrefix,
+                routerKeyPrefix,
+                placementLeaderKey,
+                decodeConfiguration,
+                decodeServer: decodeServerEntry,
+            },
+            dialect: platformDialect,
+        }, new SilentLogger());
+        await fixture.gateway.start();
+        return fixture;
+    }
+
+    register(server: StandInBackendServer, changes: Record<string, unknown> = {}): void {
+        this.store.put(`${serverKeyPrefix}${server.id}`, server.entry(changes));
+    }
+
+    publish(version: number, changes: Record<string, unknown> = {}): void {
+        this.store.put(configurationKey, configuration(version, changes));
+    }
+
+    /** Waits until the condition holds; fails after some seconds. */
+    async until(condition: () => Promise<boolean> | boolean): Promise<void> {
+        for (let turn = 0; turn < 400; turn++) {
+            if (await condition()) {
+                return;
+            }
+            await new Promise(resolve => setTimeout(resolve, 20));
+        }
+        throw new TypeError("the condition did not come true in time");
+    }
+
+    async ready(): Promise<boolean> {
+        return (await call(this.readinessPort, "GET", "/ready", {})).status === 200;
+    }
+
+    send(method: string, path: string, headers: Record<string, string> = {}, body?: string): Promise<Answer> {
+        return call(this.callerPort, method, path, {
+            "Host": "yard.example",
+            "Authorization": "Bearer key-1",
+            "X-Attempt-Id": "attempt-1",
+            "X-Deadline-Ms": "2000",
+            ...headers,
+        }, body);
+    }
+
+    async stop(): Promise<void> {
+        await this.gateway?.stop();
+        await Promise.all(this.servers.map(server => server.stop()));
+        await this.store.stop();
+    }
+}
+
+function call(
+    port: number,
+    method: string,
+    path: string,
+    headers: Record<string, string>,
+    body?: string,
+): Promise<Answer> {
+    return new Promise((resolve, reject) => {
+        const sent = request({ host: "127.0.0.1", port, method, path, headers, agent: false }, response => {
+            const chunks: Buffer[] = [];
+            const finish = () =>
+                resolve({
+                    status: response.statusCode!,
+                    headers: response.headers,
+                    body: Buffer.concat(chunks).toString(),
+                    complete: response.complete,
+                });
+            response.on("data", (chunk: Buffer) => chunks.push(chunk));
+            response.on("close", finish);
+            response.on("error", finish);
+        });
+        sent.on("error", reject);
+        sent.end(body);
+    });
+}
+
+async function freePorts(count: number): Promise<number[]> {
+    const servers = await Promise.all(Array.from({ length: count }, () =>
+        new Promise<ReturnType<typeof createServer>>(resolve => {
+            const server = createServer();
+            server.listen(0, "127.0.0.1", () => resolve(server));
+        })));
+    const ports = servers.map(server => (server.address() as AddressInfo).port);
+    await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
+    return ports;
+}
--- /dev/null
+++ b/test/platform/stand-ins/backend-server.ts
@@ -0,0 +1,164 @@
+/** A stand-in of a backend server on the users' platform: a plain service, or an engine that holds layers. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+
+export type Behavior =
+    | "answer"
+    | "refuse"
+    | "fail"
+    | "reset"
+    | "mute"
+    | "truncate"
+    | "no-proof"
+    | "other-id"
+    | "encoded"
+    | "break-stream";
+
+export interface ReceivedRequest {
+    readonly method: string;
+    readonly url: string;
+    readonly headers: IncomingMessage["headers"];
+    readonly body: string;
+}
+
+const eventsInStream = 10;
+
+export class StandInBackendServer {
+    behavior: Behavior = "answer";
+    readonly received: ReceivedRequest[] = [];
+    readonly orders: Record<string, unknown>[] = [];
+    layers: { from: number; target: number; } | undefined;
+    /** Requests whose connection closed before their answer was complete. */
+    abandoned = 0;
+    eventMilliseconds = 2;
+    private ordersBegun = 0;
+    private port = 0;
+    private readonly server: Server = createServer((request, response) => void this.handle(request, response));
+
+    constructor(readonly id: string, readonly service: string, readonly zone = "north") {}
+
+    async start(): Promise<void> {
+        await new Promise<void>(resolve => this.server.listen(0, "127.0.0.1", resolve));
+        this.port = (this.server.address() as AddressInfo).port;
+    }
+
+    async stop(): Promise<void> {
+        this.server.closeAllConnections();
+        await new Promise(resolve => this.server.close(resolve));
+    }
+
+    get address(): string {
+        return `127.0.0.1:${this.port}`;
+    }
+
+    /** What it writes into the registry. */
+    entry(changes: Record<string, unknown> = {}): Record<string, unknown> {
+        return {
+            service: this.service,
+            address: this.address,
+            zone: this.zone,
+            version: "v1",
+            slots: 10,
+            state: "ready",
+            warmup_left_ms: 0,
+            seq: 1,
+            born: 1,
+            kind: "small",
+            ...(this.layers === undefined ? {} : { layers: { ...this.layers, version: 1 } }),
+            ...changes,
+        };
+    }
+
+    private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const chunks: Buffer[] = [];
+        for await (const chunk of request) {
+            chunks.push(chunk as Buffer);
+        }
+        const body = Buffer.concat(chunks).toString();
+        if (request.url === "/report") {
+            const report = { busy: false, seq: this.ordersBegun, born: 1, layers: this.layers };
+            response.end(JSON.stringify(report));
+            return;
+        }
+        if (request.url === "/order") {
+            this.takeOrder(JSON.parse(body) as Record<string, unknown>, response);
+            return;
+        }
+        this.received.push({ method: request.method!, url: request.url!, headers: request.headers, body });
+        response.on("close", () => {
+            this.abandoned += response.writableFinished ? 0 : 1;
+        });
+        await this.answer(request, response);
+    }
+
+    private takeOrder(order: Record<string, unknown>, response: ServerResponse): void {
+        this.orders.push(order);
+        if (order["op"] === "place" && order["expected"] !== this.ordersBegun) {
+            response.writeHead(409).end();
+            return;
+        }
+        if (order["op"] === "place") {
+            this.ordersBegun++;
+            this.layers = { from: order["from"] as number, target: order["target"] as number };
+        }
+        response.writeHead(202).end();
+    }
+
+    private async answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const id = request.headers["x-attempt-id"] as string;
+        const headers: Record<string, string> = { "X-Attempt-Id": id, "X-Replica-Seal": `seal-${this.id}` };
+        switch (this.behavior) {
+            case "refuse":
+                response.writeHead(503, { "X-Not-Executed": "1" }).end();
+                return;
+            case "fail":
+                response.writeHead(500, headers).end("failed");
+                return;
+            case "reset":
+                request.socket.resetAndDestroy();
+                return;
+            case "mute":
+                return;
+            case "truncate":
+                response.writeHead(200, { ...headers, "Content-Length": "100" });
+                response.write("only a part");
+                setTimeout(() => response.destroy(), 5);
+                return;
+            case "no-proof":
+                response.writeHead(200, { "X-Attempt-Id": id }).end("forged");
+                return;
+            case "other-id":
+                response.writeHead(200, { ...headers, "X-Attempt-Id": "another" }).end("of another");
+                return;
+            case "encoded":
+                response.writeHead(200, { ...headers, "Content-Encoding": "gzip" }).end("zipped");
+                return;
+            default:
+                break;
+        }
+        if (request.headers["x-hop-count"] === undefined) {
+            response.writeHead(200, headers).end(`answer of ${this.id}`);
+            return;
+        }
+        await this.stream(request, response, headers);
+    }
+
+    private async stream(
+        request: IncomingMessage,
+        response: ServerResponse,
+        headers: Record<string, string>,
+    ): Promise<void> {
+        response.writeHead(200, { ...headers, "Content-Type": "text/event-stream" });
+        const first = Number(request.headers["last-event-id"] ?? 0) + 1;
+        for (let id = first; id <= eventsInStream; id++) {
+            if (this.behavior === "break-stream" && id === first + 3) {
+                response.write(`id: ${id}\ndata: half of`);
+                setTimeout(() => response.destroy(), 5);
+                return;
+            }
+            response.write(`id: ${id}\ndata: word ${id}\n\n`);
+            await new Promise(resolve => setTimeout(resolve, this.eventMilliseconds));
+        }
+        response.end();
+    }
+}
--- /dev/null
+++ b/test/platform/stand-ins/store.ts
@@ -0,0 +1,188 @@
+/** A stand-in of the platform's key-value service: revisions, leases, waiting reads, and faults that tests switch on. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+
+interface Item {
+    readonly key: string;
+    readonly value: string;
+    readonly revision: number;
+    readonly lease: number;
+}
+
+interface Change {
+    readonly key: string;
+    readonly revision: number;
+    readonly item: Item | undefined;
+}
+
+interface Transaction {
+    readonly expected: readonly { readonly key: string; readonly revision: number; }[];
+    readonly writes: readonly { readonly key: string; readonly value: string; readonly lease?: number; }[];
+    readonly remove: readonly string[];
+}
+
+export class StandInStore {
+    /** Refuses every call with 503. */
+    down = false;
+    /** Commits, and closes the connection in place of the answer. */
+    loseCommitAnswers = false;
+    readonly calls: string[] = [];
+    private readonly items = new Map<string, Item>();
+    private changes: Change[] = [];
+    private forgottenUpTo = 0;
+    private revision = 1;
+    private nextLease = 100;
+    private readonly leases = new Map<number, NodeJS.Timeout>();
+    private readonly waiting = new Set<() => void>();
+    private readonly server: Server = createServer((request, response) => void this.handle(request, response));
+
+    async start(): Promise<{ host: string; port: number; }> {
+        await new Promise<void>(resolve => this.server.listen(0, "127.0.0.1", resolve));
+        return { host: "127.0.0.1", port: (this.server.address() as AddressInfo).port };
+    }
+
+    async stop(): Promise<void> {
+        this.leases.forEach(timer => clearTimeout(timer));
+        this.server.closeAllConnections();
+        await new Promise(resolve => this.server.close(resolve));
+    }
+
+    put(key: string, value: unknown, lease = 0): void {
+        const text = typeof value === "string" ? value : JSON.stringify(value);
+        this.write(key, Buffer.from(text).toString("base64"), lease);
+    }
+
+    delete(key: string): void {
+        this.items.delete(key);
+        this.record({ key, revision: ++this.revision, item: undefined });
+    }
+
+    read(key: string): string | undefined {
+        const item = this.items.get(key);
+        return item === undefined ? undefined : Buffer.from(item.value, "base64").toString();
+    }
+
+    /** Forgets the history, and cuts the reads that wait. */
+    compact(): void {
+        this.forgottenUpTo = this.revision;
+        this.changes = [];
+        this.server.closeAllConnections();
+    }
+
+    private write(key: string, value: string, lease: number): void {
+        const item = { key, value, lease, revision: ++this.revision };
+        this.items.set(key, item);
+        this.record({ key, revision: item.revision, item });
+    }
+
+    private record(change: Change): void {
+        this.changes.push(change);
+        [...this.waiting].forEach(wake => wake());
+    }
+
+    private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const url = new URL(request.url!, "http://store");
+        this.calls.push(`${request.method} ${url.pathname}`);
+        const body = await readBody(request);
+        if (this.down) {
+            answer(response, 503, undefined);
+            return;
+        }
+        const [, call, id] = url.pathname.split("/");
+        switch (call) {
+            case "kv-range":
+                this.range(url.searchParams, response);
+                break;
+            case "kv-watch":
+                await this.watch(url.searchParams, response);
+                break;
+            case "kv-txn":
+                this.transact(JSON.parse(body) as Transaction, response);
+                break;
+            case "kv-lease":
+                this.grant((JSON.parse(body) as { ttl_ms: number; }).ttl_ms, response);
+                break;
+            case "kv-keep":
+                answer(response, this.leases.has(Number(id)) ? 200 : 404, {});
+                break;
+            case "kv-lease-end":
+                this.endLease(Number(id));
+                answer(response, 200, {});
+                break;
+            default:
+                answer(response, 400, undefined);
+        }
+    }
+
+    private range(query: URLSearchParams, response: ServerResponse): void {
+        const after = query.get("after_revision") ?? "";
+        const items = [...this.items.values()]
+            .filter(({ key }) => key.startsWith(query.get("path_prefix")!) && key > after)
+            .sort((left, right) => left.key < right.key ? -1 : 1);
+        const page = items.slice(0, 3);
+        answer(response, 200, { items: page, has_more: page.length < items.length, store_revision: this.revision });
+    }
+
+    private async watch(query: URLSearchParams, response: ServerResponse): Promise<void> {
+        const prefix = query.get("path_prefix")!;
+        const after = Number(query.get("after_revision"));
+        if (after < this.forgottenUpTo) {
+            answer(response, 410, undefined);
+            return;
+        }
+        const found = () => this.changes.filter(({ key, revision }) => key.startsWith(prefix) && revision > after);
+        if (found().length === 0) {
+            await new Promise<void>(resolve => {
+                const wake = () => {
+                    clearTimeout(timer);
+                    this.waiting.delete(wake);
+                    resolve();
+                };
+                const timer = setTimeout(wake, Number(query.get("wait_ms")));
+                this.waiting.add(wake);
+            });
+        }
+        const events = found().map(({ key, revision, item }) => item ?? { key, revision, tombstone: true });
+        answer(response, 200, { events, store_revision: this.revision });
+    }
+
+    private transact(transaction: Transaction, response: ServerResponse): void {
+        const failed = transaction.expected.some(({ key, revision }) => (this.items.get(key)?.revision ?? 0) !== revision);
+        if (failed) {
+            answer(response, 412, { items: [] });
+            return;
+        }
+        transaction.writes.forEach(({ key, value, lease }) => this.write(key, value, lease ?? 0));
+        if (this.loseCommitAnswers) {
+            response.destroy();
+            return;
+        }
+        answer(response, 200, { revision: this.revision });
+    }
+
+    private grant(timeToLive: number, response: ServerResponse): void {
+        const lease = this.nextLease++;
+        this.leases.set(lease, setTimeout(() => this.endLease(lease), timeToLive));
+        answer(response, 200, { lease, ttl_ms: timeToLive });
+    }
+
+    private endLease(lease: number): void {
+        clearTimeout(this.leases.get(lease));
+        this.leases.delete(lease);
+        [...this.items.values()].filter(item => item.lease === lease).forEach(({ key }) => this.delete(key));
+    }
+}
+
+function answer(response: ServerResponse, status: number, body: unknown): void {
+    const text = body === undefined ? "" : JSON.stringify(body);
+    response.writeHead(status, { "Content-Type": "application/json", "Content-Length": Buffer.byteLength(text) });
+    response.end(text);
+}
+
+async function readBody(request: IncomingMessage): Promise<string> {
+    const chunks: Buffer[] = [];
+    for await (const chunk of request) {
+        chunks.push(chunk as Buffer);
+    }
+    return Buffer.concat(chunks).toString();
+}
--- /dev/null
+++ b/test/process/gateway/retry-allowance.test.ts
@@ -0,0 +1,37 @@
+import { expect, jest, test } from "@jest/globals";
+import fc from "fast-check";
+import { RetryAllowance } from "../../../src/process/gateway/retry-allowance.js";
+
+const options = { ratio: 0.2, windowMilliseconds: 10_000, extra: 60 };
+
+test("property: in any window all routers together stay within ratio x requests + extra", () => {
+    const step = fc.record({
+        router: fc.nat({ max: 2 }),
+        requests: fc.nat({ max: 20 }),
+        retries: fc.nat({ max: 60 }),
+        pause: fc.nat({ max: 4_000 }),
+    });
+    fc.assert(fc.property(fc.array(step, { maxLength: 40 }), steps => {
+        const routers = [0, 1, 2].map(() => new RetryAllowance({ ...options, routerCount: () => 3 }));
+        const requests: number[] = [];
+        const retries: number[] = [];
+        for (const { router, requests: requestCount, retries: retryCount, pause } of steps) {
+            jest.advanceTimersByTime(pause);
+            const now = performance.now();
+            for (let count = 0; count < requestCount; count++) {
+                routers[router]!.noteRequest("pool");
+                requests.push(now);
+            }
+            for (let count = 0; count < retryCount; count++) {
+                if (routers[router]!.take("pool")) {
+                    retries.push(now);
+                }
+            }
+            const within = (times: readonly number[], from: number) => times.filter(time => time >= from).length;
+            const from = now - options.windowMilliseconds;
+            // Requests of the window before count too, as the users count them.
+            const allowed = options.ratio * within(requests, from - options.windowMilliseconds) + options.extra;
+            expect(within(retries, from)).toBeLessThanOrEqual(allowed);
+        }
+    }), { seed: 20261204, numRuns: 50 });
+});
