--- a/src/cli/run.ts
+++ b/src/cli/run.ts
@@ -4,6 +4,7 @@
 import { createBookingsCommand } from "./commands/bookings.js";
 import { createDemoCommand } from "./commands/demo.js";
 import { createDrainCommand } from "./commands/drain.js";
+import { createExplainRequestCommand } from "./commands/explain-request.js";
 import { createExplainCommand } from "./commands/explain.js";
 import { createPlacementCommand } from "./commands/placement.js";
 import { createRouterCommand } from "./commands/router.js";
@@ -24,6 +25,7 @@
     createStatusCommand,
     createDrainCommand,
     createExplainCommand,
+    createExplainRequestCommand,
 ];
 
 /** Runs the command that the arguments name; failures become messages and exit codes. */
--- a/test/common/line-writer.test.ts
+++ b/test/common/line-writer.test.ts
@@ -36,7 +36,7 @@
     }
     expect(writer.droppedLines).toBe(99);
     descriptor.finish();
-    expect(descriptor.texts[1]).toContain("\"lines\":99");
+    expect(descriptor.texts[1]).toContain('"lines":99');
 });
 
 test("the rate of lines is bounded", () => {
--- a/test/platform/gateway-fixture.ts
+++ b/test/platform/gateway-fixture.ts
@@ -1,6 +1,6 @@
 /** A gateway with the adapter of the users' platform, over stand-ins on loopback. */
-import { request, type IncomingHttpHeaders } from "node:http";
-import { createServer, type AddressInfo } from "node:net";
+import { type IncomingHttpHeaders, request } from "node:http";
+import { type AddressInfo, createServer } from "node:net";
 import { decodeConfiguration } from "../../platform/decode-configuration.js";
 import { decodeServerEntry } from "../../platform/decode-server.js";
 import { platformDialect } from "../../platform/dialect.js";
@@ -14,7 +14,7 @@
 import { StoreClient } from "../../platform/store-client.js";
 import { SilentLogger } from "../../src/common/logger.js";
 import { Gateway } from "../../src/daemon/gateway/gateway.js";
-import { StandInBackendServer } from "./stand-ins/backend-server.js";
+import type { StandInBackendServer } from "./stand-ins/backend-server.js";
 import { StandInStore } from "./stand-ins/store.js";
 
 export interface Answer {
@@ -205,11 +205,13 @@
 }
 
 async function freePorts(count: number): Promise<number[]> {
-    const servers = await Promise.all(Array.from({ length: count }, () =>
-        new Promise<ReturnType<typeof createServer>>(resolve => {
-            const server = createServer();
-            server.listen(0, "127.0.0.1", () => resolve(server));
-        })));
+    const servers = await Promise.all(
+        Array.from({ length: count }, () =>
+            new Promise<ReturnType<typeof createServer>>(resolve => {
+                const server = createServer();
+                server.listen(0, "127.0.0.1", () => resolve(server));
+            })),
+    );
     const ports = servers.map(server => (server.address() as AddressInfo).port);
     await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
     return ports;
--- a/test/platform/gateway.test.ts
+++ b/test/platform/gateway.test.ts
@@ -31,7 +31,9 @@
         await startWith("answer");
         const answer = await fixture.send("POST", "/book/7?x=1", { "X-Tenant": "somebody", "X-Own": "a" }, "body");
         expect(answer).toMatchObject({ status: 200, complete: true });
-        expect(answer.headers).toMatchObject({ "x-replica-seal": expect.stringMatching(/^seal-app/) as unknown as string });
+        expect(answer.headers).toMatchObject({
+            "x-replica-seal": expect.stringMatching(/^seal-app/) as unknown as string,
+        });
         const [received] = fixture.servers.flatMap(({ received: requests }) => requests);
         expect(received).toMatchObject({ method: "POST", url: "/book/7?x=1", body: "body" });
         expect(received!.headers).toMatchObject({ "x-tenant": "haddow", "x-own": "a", "x-attempt-id": "attempt-1" });
@@ -119,7 +121,8 @@
 });
 
 describe("streams", () => {
-    const wholeStream = Array.from({ length: 10 }, (_value, index) => `id: ${index + 1}\ndata: word ${index + 1}\n\n`).join("");
+    const wholeStream = Array.from({ length: 10 }, (_value, index) => `id: ${index + 1}\ndata: word ${index + 1}\n\n`)
+        .join("");
     const headers = { "X-Token-Counts": "700,150" };
 
     async function startWithEngines(): Promise<void> {
@@ -180,7 +183,12 @@
             port,
             method: "POST",
             path: "/report-text/1",
-            headers: { "Host": "yard.example", "Authorization": "Bearer key-1", "X-Attempt-Id": "a", "X-Deadline-Ms": "5000" },
+            headers: {
+                "Host": "yard.example",
+                "Authorization": "Bearer key-1",
+                "X-Attempt-Id": "a",
+                "X-Deadline-Ms": "5000",
+            },
         });
         sent.on("error", () => undefined);
         sent.on("response", () => sent.destroy());
--- a/test/platform/stand-ins/store.ts
+++ b/test/platform/stand-ins/store.ts
@@ -147,7 +147,9 @@
     }
 
     private transact(transaction: Transaction, response: ServerResponse): void {
-        const failed = transaction.expected.some(({ key, revision }) => (this.items.get(key)?.revision ?? 0) !== revision);
+        const failed = transaction.expected.some(({ key, revision }) =>
+            (this.items.get(key)?.revision ?? 0) !== revision
+        );
         if (failed) {
             answer(response, 412, { items: [] });
             return;
--- a/test/process/gateway/retry-allowance.test.ts
+++ b/test/process/gateway/retry-allowance.test.ts
@@ -11,27 +11,30 @@
         retries: fc.nat({ max: 60 }),
         pause: fc.nat({ max: 4_000 }),
     });
-    fc.assert(fc.property(fc.array(step, { maxLength: 40 }), steps => {
-        const routers = [0, 1, 2].map(() => new RetryAllowance({ ...options, routerCount: () => 3 }));
-        const requests: number[] = [];
-        const retries: number[] = [];
-        for (const { router, requests: requestCount, retries: retryCount, pause } of steps) {
-            jest.advanceTimersByTime(pause);
-            const now = performance.now();
-            for (let count = 0; count < requestCount; count++) {
-                routers[router]!.noteRequest("pool");
-                requests.push(now);
-            }
-            for (let count = 0; count < retryCount; count++) {
-                if (routers[router]!.take("pool")) {
-                    retries.push(now);
+    fc.assert(
+        fc.property(fc.array(step, { maxLength: 40 }), steps => {
+            const routers = [0, 1, 2].map(() => new RetryAllowance({ ...options, routerCount: () => 3 }));
+            const requests: number[] = [];
+            const retries: number[] = [];
+            for (const { router, requests: requestCount, retries: retryCount, pause } of steps) {
+                jest.advanceTimersByTime(pause);
+                const now = performance.now();
+                for (let count = 0; count < requestCount; count++) {
+                    routers[router]!.noteRequest("pool");
+                    requests.push(now);
+                }
+                for (let count = 0; count < retryCount; count++) {
+                    if (routers[router]!.take("pool")) {
+                        retries.push(now);
+                    }
                 }
+                const within = (times: readonly number[], from: number) => times.filter(time => time >= from).length;
+                const from = now - options.windowMilliseconds;
+                // Requests of the window before count too, as the users count them.
+                const allowed = options.ratio * within(requests, from - options.windowMilliseconds) + options.extra;
+                expect(within(retries, from)).toBeLessThanOrEqual(allowed);
             }
-            const within = (times: readonly number[], from: number) => times.filter(time => time >= from).length;
-            const from = now - options.windowMilliseconds;
-            // Requests of the window before count too, as the users count them.
-            const allowed = options.ratio * within(requests, from - options.windowMilliseconds) + options.extra;
-            expect(within(retries, from)).toBeLessThanOrEqual(allowed);
-        }
-    }), { seed: 20261204, numRuns: 50 });
+        }),
+        { seed: 20261204, numRuns: 50 },
+    );
 });
--- a/test/process/metrics-text.test.ts
+++ b/test/process/metrics-text.test.ts
@@ -10,11 +10,11 @@
     metrics.timing("a.milliseconds", 60_000);
     const lines = metrics.render().split("\n");
     expect(lines).toEqual(expect.arrayContaining([
-        "a_requests{status=\"200\"} 3",
+        'a_requests{status="200"} 3',
         "a_servers 3",
-        "a_milliseconds_bucket{le=\"100\"} 0",
-        "a_milliseconds_bucket{le=\"150\"} 1",
-        "a_milliseconds_bucket{le=\"+Inf\"} 2",
+        'a_milliseconds_bucket{le="100"} 0',
+        'a_milliseconds_bucket{le="150"} 1',
+        'a_milliseconds_bucket{le="+Inf"} 2',
         "a_milliseconds_sum 60120",
         "a_milliseconds_count 2",
     ]));
--- a/test/request/gateway/event-splitter.test.ts
+++ b/test/request/gateway/event-splitter.test.ts
@@ -6,20 +6,25 @@
     test("property: however a stream is cut, the same whole events come out", () => {
         const event = fc.record({ id: fc.nat(), data: fc.string({ unit: "grapheme-ascii", maxLength: 20 }) });
         const arbitrary = fc.tuple(fc.array(event, { maxLength: 8 }), fc.array(fc.nat({ max: 30 }), { maxLength: 30 }));
-        fc.assert(fc.property(arbitrary, fc.constantFrom("\n", "\r\n"), ([events, cuts], lineEnd) => {
-            const text = events.map(({ id, data }) => `id: ${id}${lineEnd}data: ${data}${lineEnd}${lineEnd}`).join("");
-            const bytes = Buffer.from(text);
-            const splitter = new EventSplitter();
-            const found = [];
-            let start = 0;
-            for (const cut of [...cuts, bytes.length]) {
-                found.push(...splitter.push(bytes.subarray(start, start + cut)));
-                start += cut;
-            }
-            expect(Buffer.concat(found.map(({ bytes: part }) => part)).toString()).toBe(text);
-            expect(found.map(({ id }) => id)).toEqual(events.map(({ id }) => String(id)));
-            expect(splitter.hasRest).toBe(false);
-        }), { seed: 20261204 });
+        fc.assert(
+            fc.property(arbitrary, fc.constantFrom("\n", "\r\n"), ([events, cuts], lineEnd) => {
+                const text = events.map(({ id, data }) => `id: ${id}${lineEnd}data: ${data}${lineEnd}${lineEnd}`).join(
+                    "",
+                );
+                const bytes = Buffer.from(text);
+                const splitter = new EventSplitter();
+                const found = [];
+                let start = 0;
+                for (const cut of [...cuts, bytes.length]) {
+                    found.push(...splitter.push(bytes.subarray(start, start + cut)));
+                    start += cut;
+                }
+                expect(Buffer.concat(found.map(({ bytes: part }) => part)).toString()).toBe(text);
+                expect(found.map(({ id }) => id)).toEqual(events.map(({ id }) => String(id)));
+                expect(splitter.hasRest).toBe(false);
+            }),
+            { seed: 20261204 },
+        );
     });
 
     test("holds the part of an event that has no end yet", () => {
--- a/test/request/gateway/layer-path-finder.test.ts
+++ b/test/request/gateway/layer-path-finder.test.ts
@@ -9,7 +9,11 @@
 const span = { layers: { first: 0, last: 19 }, zone: "north", followsPart: false };
 const finder = new CheapestLayerPathFinder(new SeededRandom(1));
 
-function pathServer(id: string, layers: LayerRange, changes: Partial<PathServer> & { zone?: string; } = {}): PathServer {
+function pathServer(
+    id: string,
+    layers: LayerRange,
+    changes: Partial<PathServer> & { zone?: string; } = {},
+): PathServer {
     return {
         entry: serverEntry(id, { layers, availabilityZone: changes.zone ?? "north" }),
         layers,
@@ -37,25 +41,30 @@
             }),
             { maxLength: 12 },
         );
-        fc.assert(fc.property(arbitrary, drawn => {
-            const servers = drawn.map(({ first, count, zone, requests }, index) =>
-                pathServer(`s${index}`, { first, last: Math.min(19, first + count - 1) }, { zone, requests })
-            );
-            const covered = Array.from({ length: 20 }, (_value, layer) =>
-                servers.some(({ layers }) => layers.first <= layer && layer <= layers.last));
-            const path = finder.find(servers, engineProfile, size, span);
-            expect(path !== undefined).toBe(covered.every(Boolean));
-            let next = 0;
-            for (const { server, layers } of path?.parts ?? []) {
-                expect(layers.first).toBe(next);
-                expect(server.layers!.first).toBeLessThanOrEqual(layers.first);
-                expect(server.layers!.last).toBeGreaterThanOrEqual(layers.last);
-                next = layers.last + 1;
-            }
-            expect(path === undefined ? 20 : next).toBe(20);
-            const used = (path?.parts ?? []).map(({ server }) => server.id);
-            expect(new Set(used).size).toBe(used.length);
-        }), { seed: 20261204 });
+        fc.assert(
+            fc.property(arbitrary, drawn => {
+                const servers = drawn.map(({ first, count, zone, requests }, index) =>
+                    pathServer(`s${index}`, { first, last: Math.min(19, first + count - 1) }, { zone, requests })
+                );
+                const covered = Array.from(
+                    { length: 20 },
+                    (_value, layer) => servers.some(({ layers }) => layers.first <= layer && layer <= layers.last),
+                );
+                const path = finder.find(servers, engineProfile, size, span);
+                expect(path !== undefined).toBe(covered.every(Boolean));
+                let next = 0;
+                for (const { server, layers } of path?.parts ?? []) {
+                    expect(layers.first).toBe(next);
+                    expect(server.layers!.first).toBeLessThanOrEqual(layers.first);
+                    expect(server.layers!.last).toBeGreaterThanOrEqual(layers.last);
+                    next = layers.last + 1;
+                }
+                expect(path === undefined ? 20 : next).toBe(20);
+                const used = (path?.parts ?? []).map(({ server }) => server.id);
+                expect(new Set(used).size).toBe(used.length);
+            }),
+            { seed: 20261204 },
+        );
     });
 
     test("stays in the zone although another one's servers are faster", () => {
