--- a/src/connection/gateway/exchange.ts
+++ b/src/connection/gateway/exchange.ts
@@ -38,6 +38,7 @@
     private response: IncomingMessage | undefined;
     private connected = false;
     private finished = false;
+    private readonly method: string;
 
     constructor(
         private readonly server: ServerEntry,
@@ -45,6 +46,7 @@
         connectTimeoutMilliseconds: number,
         private readonly listener: ExchangeListener,
     ) {
+        this.method = request.method;
         this.request = sendRequest({
             agent: false,
             host: server.address.host,
@@ -95,7 +97,7 @@
             }
         });
         response.on("end", () => {
-            if (response.complete) {
+            if (response.complete && saysWhereItEnds(response, this.method)) {
                 this.end();
             }
             else {
@@ -129,3 +131,16 @@
         this.request.destroy();
     }
 }
+
+const bodilessStatuses: ReadonlySet<number | undefined> = new Set([204, 304]);
+
+/**
+ * An answer that ends with its connection cannot be told from one that was cut off: the runtime reports a reset that
+ * follows data as the end of the stream. It counts as broken.
+ */
+function saysWhereItEnds({ headers, statusCode }: IncomingMessage, method: string): boolean {
+    return headers["content-length"] !== undefined
+        || headers["transfer-encoding"] !== undefined
+        || method === "HEAD"
+        || bodilessStatuses.has(statusCode);
+}
