--- a/test/platform/exchange.test.ts
+++ b/test/platform/exchange.test.ts
@@ -25,7 +25,7 @@
     return new Promise(resolve => {
         let body = "";
         const entry = serverEntry("raw", { address: { host: "127.0.0.1", port } });
-        new Exchange(entry, { method: "GET", path: "/", headers: ["Host", "x"], body: undefined }, 500, {
+        new Exchange(entry, { method: "GET", path: "/", headers: ["Host", "x", "Connection", "close"], body: undefined }, 500, {
             answered: () => undefined,
             received: chunk => {
                 body += chunk.toString();
