--- a/test/platform/exchange.test.ts
+++ b/test/platform/exchange.test.ts
@@ -3,36 +3,42 @@
 import { Exchange } from "../../src/connection/gateway/exchange.js";
 import { serverEntry } from "../process/gateway/fixtures.js";
 
-let server: Server;
+const servers: Server[] = [];
 const sockets: Socket[] = [];
 
 beforeEach(() => void jest.useRealTimers());
 afterEach(async () => {
-    const closed = new Promise(resolve => server.close(resolve));
+    const closed = Promise.all(servers.splice(0).map(server => new Promise(resolve => server.close(resolve))));
     sockets.splice(0).forEach(socket => socket.destroy());
     await closed;
 });
 
 /** How an exchange with a server of raw bytes ends. */
 async function outcomeOf(behave: (socket: Socket) => void): Promise<string> {
-    server = createServer(socket => {
+    const server = createServer(socket => {
         sockets.push(socket);
         socket.on("error", () => undefined);
         socket.once("data", () => behave(socket));
     });
+    servers.push(server);
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
     const { port } = server.address() as AddressInfo;
     return new Promise(resolve => {
         let body = "";
         const entry = serverEntry("raw", { address: { host: "127.0.0.1", port } });
-        new Exchange(entry, { method: "GET", path: "/", headers: ["Host", "x", "Connection", "close"], body: undefined }, 500, {
-            answered: () => undefined,
-            received: chunk => {
-                body += chunk.toString();
+        new Exchange(
+            entry,
+            { method: "GET", path: "/", headers: ["Host", "x", "Connection", "close"], body: undefined },
+            500,
+            {
+                answered: () => undefined,
+                received: chunk => {
+                    body += chunk.toString();
+                },
+                ended: () => resolve(`ended ${body}`),
+                failed: error => resolve(`failed ${error.failure} written=${error.bytesWritten}`),
             },
-            ended: () => resolve(`ended ${body}`),
-            failed: error => resolve(`failed ${error.failure} written=${error.bytesWritten}`),
-        });
+        );
     });
 }
 
