--- a/src/request/gateway/plain-forwarder.ts
+++ b/src/request/gateway/plain-forwarder.ts
@@ -22,6 +22,7 @@
 import type { ServerSuspicions } from "../../process/gateway/server-suspicions.js";
 import { AnswerVerdict, judgeAnswer } from "./answer-check.js";
 import type { CallerResponse } from "./caller-response.js";
+import { hasPassed } from "./deadline.js";
 import type { GatewayHeaders } from "./headers.js";
 import type { PlainServerChooser } from "./plain-server-chooser.js";
 import type { GatewayRequest } from "./types.js";
@@ -90,7 +91,7 @@
             }
             reason = attempt.verdict === AnswerVerdict.answered ? "it failed" : attempt.reason;
             const mayGoOn = runs === 0 || (repeatable && runs < request.route.maximumAttempts);
-            if (!mayGoOn || refusals > maximumRefusals || monotonicNow() >= request.deadline) {
+            if (!mayGoOn || refusals > maximumRefusals || hasPassed(request.deadline)) {
                 return this.conclude(request, failure, runs, reason);
             }
         }
@@ -141,7 +142,7 @@
         if (failure !== undefined) {
             return failure;
         }
-        if (monotonicNow() >= request.deadline) {
+        if (hasPassed(request.deadline)) {
             throw new DeadlineExceededError(runs > 0 ? Outcome.unknown : Outcome.notRun);
         }
         throw runs > 0
--- a/src/request/gateway/stream-forwarder.ts
+++ b/src/request/gateway/stream-forwarder.ts
@@ -18,6 +18,7 @@
 import type { ServerSuspicions } from "../../process/gateway/server-suspicions.js";
 import { waitFor } from "./bounded-wait.js";
 import type { CallerResponse } from "./caller-response.js";
+import { hasPassed } from "./deadline.js";
 import type { GatewayHeaders } from "./headers.js";
 import type { LayerPathChooser } from "./layer-path-chooser.js";
 import type { LayerPath, RequestSize } from "./layer-path-finder.js";
@@ -241,7 +242,7 @@
     /** Whether a backend server's failure was delivered as the answer. Throws if there is none and no further attempt. */
     private isOver(result: AttemptResult): boolean {
         const { request, parts } = this;
-        if (monotonicNow() >= request.deadline) {
+        if (hasPassed(request.deadline)) {
             this.fail(
                 new DeadlineExceededError(
                     this.runs > 0 || result.end !== AttemptEnd.notRun ? Outcome.unknown : Outcome.notRun,
