Call one piece of code where the gateway's change repeated itself

Found by reading the whole change: the hop-by-hop headers stood twice, the filter of present servers twice, the parts of a path with their addresses twice; a parameter that was always false and a field that nobody read are gone.

--- a/src/process/gateway/server-registry.ts
+++ b/src/process/gateway/server-registry.ts
@@ -88,22 +88,12 @@
 
     /** Servers of a service that are neither draining, nor gone, nor lost; with the layers that they hold by now. */
     active(service: string): ServerEntry[] {
-        const now = monotonicNow();
-        return [...this.registrations.values()]
-            .filter(({ entry, leavingSince, lapsedUntil }) =>
-                entry.service === service && (leavingSince === undefined || (lapsedUntil ?? 0) > now)
-            )
-            .flatMap(registration => this.correct(registration));
+        return this.present(service).flatMap(registration => this.correct(registration));
     }
 
     /** Servers of a service as registered, without the leader's corrections. */
     registered(service: string): ServerEntry[] {
-        const now = monotonicNow();
-        return [...this.registrations.values()]
-            .filter(({ entry, leavingSince, lapsedUntil }) =>
-                entry.service === service && (leavingSince === undefined || (lapsedUntil ?? 0) > now)
-            )
-            .map(({ entry }) => entry);
+        return this.present(service).map(({ entry }) => entry);
     }
 
     /** Servers of a service whose departure was learnt of less than the given time ago. */
@@ -183,6 +173,13 @@
         this.changeCount++;
     }
 
+    private present(service: string): Registration[] {
+        const now = monotonicNow();
+        return [...this.registrations.values()].filter(({ entry, leavingSince, lapsedUntil }) =>
+            entry.service === service && (leavingSince === undefined || (lapsedUntil ?? 0) > now)
+        );
+    }
+
     private correct({ entry, revision }: Registration): ServerEntry[] {
         const retained = this.notices.get(entry.id);
         if (retained === undefined) {
--- a/src/request/gateway/caller-response.ts
+++ b/src/request/gateway/caller-response.ts
@@ -16,14 +16,14 @@
 
     /** A whole answer of a backend server. */
     writeWhole(head: ExchangeHead, body: Buffer): void {
-        const headers = answerHeaders(head.rawHeaders, false);
+        const headers = answerHeaders(head.rawHeaders);
         this.writeHead(head.status, [...headers, "Content-Length", String(body.length)]);
         this.response.end(body);
     }
 
     /** The status and headers of a stream; the body is framed anew. */
     beginStream(head: ExchangeHead): void {
-        this.writeHead(head.status, answerHeaders(head.rawHeaders, false));
+        this.writeHead(head.status, answerHeaders(head.rawHeaders));
         this.response.flushHeaders();
     }
 
--- a/src/request/gateway/headers.ts
+++ b/src/request/gateway/headers.ts
@@ -2,21 +2,9 @@
 import { monotonicNow } from "../../common/clock.js";
 import type { Dialect, HeaderNames } from "../../domain/gateway/dialect.js";
 import type { ServerEntry } from "../../domain/gateway/server-entry.js";
+import { hopByHopHeaders } from "../service/headers.js";
 import type { GatewayRequest } from "./types.js";
 
-/** RFC 9110: these concern one connection only. */
-const connectionHeaders = [
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
-
 /** What one attempt adds to the caller's headers. */
 export interface AttemptHeaders {
     readonly server: ServerEntry;
@@ -31,10 +19,10 @@
     private readonly ownNames: ReadonlySet<string>;
 
     constructor(dialect: Dialect) {
-        const { names } = { names: dialect.headers };
+        const names = dialect.headers;
         this.names = names;
         this.ownNames = new Set([
-            ...connectionHeaders,
+            ...hopByHopHeaders,
             "authorization",
             "content-length",
             "expect",
@@ -72,12 +60,9 @@
     }
 }
 
-/** Headers of an answer without those of the connection. The length is kept unless the body is framed anew. */
-export function answerHeaders(rawHeaders: readonly string[], keepLength: boolean): string[] {
-    const dropped = new Set([...connectionHeaders, ...namedByConnection(rawHeaders)]);
-    if (!keepLength) {
-        dropped.add("content-length");
-    }
+/** Headers of an answer without those of the connection; the body is framed anew. */
+export function answerHeaders(rawHeaders: readonly string[]): string[] {
+    const dropped = new Set([...hopByHopHeaders, ...namedByConnection(rawHeaders), "content-length"]);
     return keepHeaders(rawHeaders, name => !dropped.has(name));
 }
 
--- a/src/request/gateway/stream-attempt.ts
+++ b/src/request/gateway/stream-attempt.ts
@@ -31,8 +31,6 @@
     readonly body?: Buffer;
     /** Servers of the path that take no connection. */
     readonly unreachable?: readonly ServerEntry[];
-    /** No connection stood, so that nothing was sent. */
-    readonly neverSent?: boolean;
 }
 
 export interface AttemptObserver {
@@ -135,7 +133,7 @@
 
     private fail(error: ConnectionFailedError): void {
         const end = error.bytesWritten ? AttemptEnd.broken : AttemptEnd.notRun;
-        this.finish({ end, reason: `connection ${error.failure}`, neverSent: !error.bytesWritten });
+        this.finish({ end, reason: `connection ${error.failure}` });
     }
 
     private finish(result: AttemptResult): void {
--- a/src/request/gateway/stream-forwarder.ts
+++ b/src/request/gateway/stream-forwarder.ts
@@ -7,7 +7,7 @@
 import type { Metrics } from "../../common/metrics.js";
 import type { ReachabilityCheck } from "../../connection/gateway/reachability.js";
 import type { EngineProfile, GatewayRoute } from "../../domain/gateway/configuration.js";
-import type { Dialect } from "../../domain/gateway/dialect.js";
+import type { Dialect, PathPart } from "../../domain/gateway/dialect.js";
 import type { ServerControl } from "../../domain/gateway/server-control.js";
 import { formatSocketAddress, OrderOutcome, type ServerEntry } from "../../domain/gateway/server-entry.js";
 import { formatLayerRange } from "../../domain/layers.js";
@@ -127,9 +127,7 @@
                 body: request.body,
                 headers: parts.headers.forAttempt(request, {
                     server,
-                    layerPath: parts.dialect.formatLayerPath(
-                        path.parts.map(part => ({ address: part.server.address, layers: part.layers })),
-                    ),
+                    layerPath: parts.dialect.formatLayerPath(addressedParts(path)),
                     lastEventId: progress.lastEventId,
                 }),
             },
@@ -157,7 +155,7 @@
     private watchProgress(path: LayerPath, attempt: StreamAttempt): StallWatch {
         const { route } = this.request;
         const mayRepeat = () => route.resumable && this.runs + 1 < route.maximumAttempts;
-        const watch = new StallWatch(stallLimits(route), {
+        return new StallWatch(stallLimits(route), {
             quiet: () => {
                 const servers = path.parts.map(({ server }) => server);
                 const eventBefore = this.progress.lastEventId;
@@ -174,7 +172,6 @@
                 }
             },
         });
-        return watch;
     }
 
     /** Moves the running request around the lost servers; where that can't be done, it is sent anew. */
@@ -208,8 +205,8 @@
 
     private async changePath(path: LayerPath, replacement: LayerPath): Promise<string> {
         try {
-            const pathParts = replacement.parts.map(({ server, layers }) => ({ address: server.address, layers }));
-            return await this.parts.control.changePath(path.parts[0]!.server, this.request.id, pathParts);
+            const server = path.parts[0]!.server;
+            return await this.parts.control.changePath(server, this.request.id, addressedParts(replacement));
         }
         catch (error) {
             return String(error);
@@ -307,12 +304,16 @@
     const gap = route.eventGapMilliseconds ?? defaultEventGapMilliseconds;
     return {
         quietMilliseconds: gap * quietShare,
-        stalledMilliseconds: stalledMilliseconds,
+        stalledMilliseconds,
         firstQuietMilliseconds: route.targetLatencyMilliseconds * firstQuietShare,
         firstStalledMilliseconds: route.targetLatencyMilliseconds * firstStalledShare,
     };
 }
 
+function addressedParts(path: LayerPath): PathPart[] {
+    return path.parts.map(({ server, layers }) => ({ address: server.address, layers }));
+}
+
 function isTaken(outcome: string): boolean {
     return outcome === OrderOutcome.begun || outcome === OrderOutcome.alreadyHeld;
 }
--- a/src/request/service/headers.ts
+++ b/src/request/service/headers.ts
@@ -2,7 +2,7 @@
 import type { ServiceHeaders } from "./types.js";
 
 /** RFC 9110: these concern one connection only. */
-const hopByHopHeaders = new Set([
+export const hopByHopHeaders: ReadonlySet<string> = new Set([
     "connection",
     "keep-alive",
     "proxy-authenticate",
