Send nothing again once the caller has left

Found by reading the change: after its caller left, a request that may be repeated was sent to a second server, and that run was not cancelled. A test fails first (2 sends instead of 1). Change: no further attempt without a caller. After: 18 tests of plain services pass.

--- a/src/request/gateway/plain-forwarder.ts
+++ b/src/request/gateway/plain-forwarder.ts
@@ -91,7 +91,8 @@
             }
             reason = attempt.verdict === AnswerVerdict.answered ? "it failed" : attempt.reason;
             const mayGoOn = runs === 0 || (repeatable && runs < request.route.maximumAttempts);
-            if (!mayGoOn || refusals > maximumRefusals || hasPassed(request.deadline)) {
+            const callerWaits = !request.callerGone.aborted && !hasPassed(request.deadline);
+            if (!mayGoOn || refusals > maximumRefusals || !callerWaits) {
                 return this.conclude(request, failure, runs, reason);
             }
         }
--- a/test/platform/gateway-fixture.ts
+++ b/test/platform/gateway-fixture.ts
@@ -171,6 +171,23 @@
         }, body);
     }
 
+    /** Sends a request and closes its connection after the time, without an answer. */
+    sendAndLeave(method: string, path: string, milliseconds: number): Promise<void> {
+        const headers = {
+            "Host": "yard.example",
+            "Authorization": "Bearer key-1",
+            "X-Attempt-Id": "leaver",
+            "X-Deadline-Ms": "900",
+        };
+        return new Promise(resolve => {
+            const sent = request({ host: "127.0.0.1", port: this.callerPort, method, path, headers, agent: false });
+            sent.on("error", () => undefined);
+            sent.on("close", () => resolve());
+            sent.end();
+            setTimeout(() => sent.destroy(), milliseconds);
+        });
+    }
+
     async stop(): Promise<void> {
         await this.gateway?.stop();
         await Promise.all(this.servers.map(server => server.stop()));
--- a/test/platform/gateway.test.ts
+++ b/test/platform/gateway.test.ts
@@ -83,6 +83,13 @@
         expect(receivedBy()).toBe(0);
     });
 
+    test("what may be repeated is not sent again once its caller has left", async () => {
+        await startWith("mute");
+        await expect(fixture.sendAndLeave("GET", "/look/1", 100)).resolves.toBeUndefined();
+        await new Promise(resolve => setTimeout(resolve, 300));
+        expect(receivedBy()).toBe(1);
+    });
+
     test("a server that drains gets nothing once its word is known", async () => {
         await startWith("answer");
         fixture.register(fixture.servers[0]!, { state: "draining" });
