Learn the store's contents from other routers while the store turns one away; enforce the operator's header limit

The header limit of the configuration was read and not enforced; the parser's 64 kB was. Seeds from the settings serve a router that starts while it is turned away. Streams log their first event and longest pause.

--- /dev/null
+++ b/src/connection/gateway/peer-snapshots.ts
@@ -0,0 +1,86 @@
+/** Asks other routers over HTTP for what they know of the platform's store: a JSON body, values as base64 text. */
+import { type IncomingMessage, request as sendRequest } from "node:http";
+import * as z from "zod/mini";
+import { formatSocketAddress, type SocketAddress } from "../../domain/gateway/server-entry.js";
+import type { SnapshotSource, StoreSnapshot } from "../../domain/gateway/store-snapshot.js";
+import { PeerUnreachableError } from "../../errors/index.js";
+
+export const snapshotPath = "/store-snapshot";
+export const afterParameter = "after";
+/** A router that takes longer is passed over for the next one. */
+const timeoutMilliseconds = 500;
+const httpStatus = { ok: 200, noContent: 204 } as const;
+
+const snapshotSchema = z.object({
+    storeRevision: z.number(),
+    items: z.array(z.object({ key: z.string(), value: z.string(), revision: z.number() })),
+});
+
+export function encodeSnapshot({ storeRevision, items }: StoreSnapshot): Buffer {
+    return Buffer.from(JSON.stringify({
+        storeRevision,
+        items: items.map(({ key, value, revision }) => ({ key, value: value.toString("base64"), revision })),
+    }));
+}
+
+export class HttpSnapshotSource implements SnapshotSource {
+    async readSnapshot(router: SocketAddress, afterRevision: number): Promise<StoreSnapshot | undefined> {
+        const address = formatSocketAddress(router);
+        const response = await this.request(router, afterRevision).catch((error: unknown) => {
+            throw new PeerUnreachableError(address, error);
+        });
+        if (response.status === httpStatus.noContent) {
+            return undefined;
+        }
+        const parsed = response.status === httpStatus.ok
+            ? snapshotSchema.safeParse(parseJson(response.text))
+            : undefined;
+        if (parsed?.success !== true) {
+            throw new PeerUnreachableError(address, parsed?.error ?? `status ${response.status}`);
+        }
+        const { storeRevision, items } = parsed.data;
+        return {
+            storeRevision,
+            items: items.map(({ key, value, revision }) => ({ key, revision, value: Buffer.from(value, "base64") })),
+        };
+    }
+
+    private request(router: SocketAddress, afterRevision: number): Promise<{ status: number; text: string; }> {
+        return new Promise((resolve, reject) => {
+            const request = sendRequest({
+                agent: false,
+                host: router.host,
+                port: router.port,
+                path: `${snapshotPath}?${afterParameter}=${afterRevision}`,
+            });
+            const timer = setTimeout(() => request.destroy(), timeoutMilliseconds);
+            request.on("close", () => {
+                clearTimeout(timer);
+                reject(new PeerUnreachableError(formatSocketAddress(router)));
+            });
+            request.on("error", reject);
+            request.on("response", response => {
+                readText(response).then(text => resolve({ status: response.statusCode ?? 0, text }), reject);
+            });
+            request.end();
+        });
+    }
+}
+
+async function readText(response: IncomingMessage): Promise<string> {
+    const chunks: Buffer[] = [];
+    for await (const chunk of response) {
+        chunks.push(chunk as Buffer);
+    }
+    return Buffer.concat(chunks).toString("utf8");
+}
+
+/** Undefined for a text that is not JSON, which the schema then refuses. */
+function parseJson(text: string): unknown {
+    try {
+        return JSON.parse(text) as unknown;
+    }
+    catch {
+        return undefined;
+    }
+}
--- a/src/daemon/gateway/gateway.ts
+++ b/src/daemon/gateway/gateway.ts
@@ -4,7 +4,7 @@
 import { LifeCycle } from "../../common/life-cycle.js";
 import type { Logger } from "../../common/logger.js";
 import { SystemRandom } from "../../common/random.js";
-import { createNoticeServer } from "../../connection/gateway/peer-notices.js";
+import { createPeerServer } from "../../connection/gateway/peer-server.js";
 import type { GatewayConfiguration } from "../../domain/gateway/configuration.js";
 import type { GatewaySettings } from "../../process/gateway/settings.js";
 import { createMetricsServer, TextMetrics } from "../../process/metrics/text-metrics.js";
@@ -102,17 +102,22 @@
 
     private addParts(metrics: TextMetrics): void {
         const { listen } = this.settings;
-        const { registry, follower, routers, leadership } = this.state;
+        const { registry, follower, image, relay, routers, leadership } = this.state;
         const readiness = createServer((_request, response) => {
             response.writeHead(this.isReady() ? 200 : 503, { "Content-Length": "0" });
             response.end();
         });
-        const notices = createNoticeServer(notice => registry.applyNotice(notice), this.logger.withLabel("notices"));
+        const peers = createPeerServer({
+            receiveNotice: notice => registry.applyNotice(notice),
+            snapshotAfter: revision => image.snapshotAfter(revision),
+            logger: this.logger.withLabel("peers"),
+        });
         this.lifeCycle.add(listening("caller listener", this.callers, listen.callers));
         this.lifeCycle.add(listening("readiness listener", readiness, listen.readiness));
-        this.lifeCycle.add(listening("notice listener", notices, listen.peers));
+        this.lifeCycle.add(listening("peer listener", peers, listen.peers));
         this.lifeCycle.add(listening("metrics listener", createMetricsServer(metrics), listen.metrics));
         this.lifeCycle.add(follower);
+        this.lifeCycle.add(relay);
         this.lifeCycle.add(routers);
         this.lifeCycle.add(leadership);
         this.lifeCycle.add(this.requestPath.placement);
--- a/src/daemon/gateway/known-state.ts
+++ b/src/daemon/gateway/known-state.ts
@@ -1,6 +1,7 @@
 /** Composes what a gateway knows: the configuration, the registry and the fleet, all followed in the platform's store. */
 import type { Logger } from "../../common/logger.js";
 import type { RandomSource } from "../../common/random.js";
+import { HttpSnapshotSource } from "../../connection/gateway/peer-snapshots.js";
 import { formatSocketAddress } from "../../domain/gateway/server-entry.js";
 import { ConfigurationInForce } from "../../process/gateway/configuration-in-force.js";
 import { PlacementLeadership } from "../../process/gateway/layer-placement/placement-leadership.js";
@@ -9,6 +10,8 @@
 import type { GatewaySettings } from "../../process/gateway/settings.js";
 import { StoreContents } from "../../process/gateway/store-contents.js";
 import { StoreFollower } from "../../process/gateway/store-follower.js";
+import { StoreImage } from "../../process/gateway/store-image.js";
+import { StoreRelay } from "../../process/gateway/store-relay.js";
 import type { GatewayPlatform } from "./platform.js";
 
 /** Part of the drain bound in which a leaving server may still be used; the rest covers the way to it. */
@@ -20,6 +23,8 @@
     readonly routers: RouterDirectory;
     readonly leadership: PlacementLeadership;
     readonly follower: StoreFollower;
+    readonly image: StoreImage;
+    readonly relay: StoreRelay;
     /** Time in which a leaving server may still be used. */
     readonly leavingUseMilliseconds: number;
 }
@@ -45,13 +50,24 @@
         store,
         layout.routerKeyPrefix,
         settings.router.name,
-        formatSocketAddress(settings.listen.peers),
+        settings.listen.peers,
         logger.withLabel("routers"),
     );
     const storeLogger = logger.withLabel("store");
     const contents = new StoreContents(layout, configuration, registry, routers, leadership, storeLogger);
-    const follower = new StoreFollower(store, layout.rootPrefix, contents, random, storeLogger);
-    return { configuration, registry, routers, leadership, follower, leavingUseMilliseconds };
+    const image = new StoreImage(contents);
+    const follower = new StoreFollower(store, layout.rootPrefix, image, random, storeLogger);
+    const ownAddress = formatSocketAddress(settings.listen.peers);
+    const contacts = settings.contacts.filter(contact => formatSocketAddress(contact) !== ownAddress);
+    const relay = new StoreRelay({
+        image,
+        storeAnswers: () => follower.unreachableSince === undefined && image.revision > 0,
+        source: new HttpSnapshotSource(),
+        routers: () => routers.others.length > 0 ? routers.others : contacts,
+        random,
+        logger: storeLogger,
+    });
+    return { configuration, registry, routers, leadership, follower, image, relay, leavingUseMilliseconds };
 }
 
 /** Tells this start of the router from earlier ones, whose lease may still be running. */
--- a/src/domain/gateway/server-entry.ts
+++ b/src/domain/gateway/server-entry.ts
@@ -54,6 +54,14 @@
 } as const;
 export type OrderOutcome = typeof OrderOutcome[keyof typeof OrderOutcome];
 
+const socketAddressPattern = /^(\d{1,3}(?:\.\d{1,3}){3}):(\d{1,5})$/;
+
+/** Undefined for anything but `IP:PORT`. */
+export function parseSocketAddress(text: string): SocketAddress | undefined {
+    const match = socketAddressPattern.exec(text);
+    return match === null ? undefined : { host: match[1]!, port: Number(match[2]) };
+}
+
 export function formatSocketAddress(address: SocketAddress): string {
     return `${address.host}:${address.port}`;
 }
--- a/src/errors/request-errors.ts
+++ b/src/errors/request-errors.ts
@@ -57,6 +57,22 @@
     }
 }
 
+const headersTooLargeDefinition = defineError({
+    code: "headers-too-large",
+    title: "The request headers are too large",
+    hint: "Send fewer or shorter headers, or raise the limit in the published configuration.",
+    status: 431,
+});
+
+/** Headers over the limit of the configuration in force. */
+export class HeadersTooLargeError extends PomelostallError {
+    constructor(maximumBytes: number) {
+        super(headersTooLargeDefinition, `The request headers are over ${maximumBytes} bytes.`, {
+            outcome: Outcome.notRun,
+        });
+    }
+}
+
 const requestTimeoutDefinition = defineError({
     code: "request-timeout",
     title: "The request was not received in time",
--- a/src/process/gateway/router-directory.ts
+++ b/src/process/gateway/router-directory.ts
@@ -6,6 +6,7 @@
 import type { Managed } from "../../common/life-cycle.js";
 import type { Logger } from "../../common/logger.js";
 import type { MetadataStore } from "../../domain/gateway/metadata-store.js";
+import { formatSocketAddress, type SocketAddress } from "../../domain/gateway/server-entry.js";
 import { LeaseLostError } from "../../errors/index.js";
 
 /** A router that was lost is registered for this long at most. */
@@ -18,7 +19,7 @@
 export class RouterDirectory implements Managed {
     readonly name = "router directory";
     private readonly stopping = new AbortController();
-    private readonly routers = new Map<string, string>();
+    private readonly routers = new Map<string, SocketAddress>();
     private maximum = { count: 1, seenAt: monotonicNow() };
     private lease: number | undefined;
     private running: Promise<void> | undefined;
@@ -28,7 +29,7 @@
         private readonly keyPrefix: string,
         private readonly ownName: string,
         /** Where other routers reach this one. */
-        private readonly ownAddress: string,
+        private readonly ownAddress: SocketAddress,
         private readonly logger: Logger,
     ) {}
 
@@ -46,7 +47,7 @@
     }
 
     /** Addresses of the other routers. */
-    get others(): string[] {
+    get others(): SocketAddress[] {
         return [...this.routers].filter(([name]) => name !== this.ownName).map(([, address]) => address);
     }
 
@@ -65,7 +66,7 @@
         }
     }
 
-    put(name: string, address: string): void {
+    put(name: string, address: SocketAddress): void {
         this.routers.set(name, address);
     }
 
@@ -73,7 +74,7 @@
         this.routers.delete(name);
     }
 
-    replaceAll(routers: ReadonlyMap<string, string>): void {
+    replaceAll(routers: ReadonlyMap<string, SocketAddress>): void {
         this.routers.clear();
         routers.forEach((address, name) => this.routers.set(name, address));
     }
@@ -103,7 +104,11 @@
         const lease = await this.store.grantLease(leaseMilliseconds);
         await this.store.commit({
             conditions: [],
-            writes: [{ key: this.keyPrefix + this.ownName, value: Buffer.from(this.ownAddress), leaseId: lease }],
+            writes: [{
+                key: this.keyPrefix + this.ownName,
+                value: Buffer.from(formatSocketAddress(this.ownAddress)),
+                leaseId: lease,
+            }],
         });
         this.lease = lease;
     }
--- a/src/process/gateway/settings.ts
+++ b/src/process/gateway/settings.ts
@@ -1,13 +1,15 @@
 /** The settings of a gateway process: JSON with comments, checked before anything else is done. */
 import * as z from "zod/mini";
 import { readTextFile } from "../../common/read-text-file.js";
-import type { SocketAddress } from "../../domain/gateway/server-entry.js";
+import { parseSocketAddress } from "../../domain/gateway/server-entry.js";
 import { parseChecked } from "../settings/parse-checked.js";
 
-const addressPattern = /^(\d{1,3}(?:\.\d{1,3}){3}):(\d{1,5})$/;
 const text = () => z.string().check(z.minLength(1, "a text that is not empty"));
 const address = () =>
-    z.pipe(z.string().check(z.regex(addressPattern, "IP:PORT")), z.transform(value => splitAddress(value)));
+    z.pipe(
+        z.string().check(z.refine(value => parseSocketAddress(value) !== undefined, "IP:PORT")),
+        z.transform(value => parseSocketAddress(value)!),
+    );
 const positive = () => z.number().check(z.positive("a number over 0"));
 
 const gatewaySettingsSchema = z.object({
@@ -18,6 +20,8 @@
         peers: address(),
         metrics: address(),
     }),
+    /** Peer addresses of a few routers, for one that starts while the store turns it away; they may be stale. */
+    contacts: z.array(address()),
     store: z.object({ address: address(), minimumLeaseMilliseconds: positive() }),
     machine: z.object({ maximumDescriptors: positive(), memoryMegabytes: positive() }),
     bounds: z.object({
@@ -38,8 +42,3 @@
 export async function readGatewaySettings(file: string): Promise<GatewaySettings> {
     return parseChecked(await readTextFile(file), file, gatewaySettingsSchema);
 }
-
-function splitAddress(value: string): SocketAddress {
-    const [host, port] = value.split(":");
-    return { host: host!, port: Number(port) };
-}
--- a/src/process/gateway/store-contents.ts
+++ b/src/process/gateway/store-contents.ts
@@ -1,7 +1,7 @@
 /** Sorts what the store holds: the configuration, the registry of backend servers, and who leads placement. */
 import type { Logger } from "../../common/logger.js";
 import type { ItemChange, StoredItem } from "../../domain/gateway/metadata-store.js";
-import type { ServerEntry } from "../../domain/gateway/server-entry.js";
+import { parseSocketAddress, type ServerEntry, type SocketAddress } from "../../domain/gateway/server-entry.js";
 import type { StoreLayout } from "../../domain/gateway/store-layout.js";
 import { MalformedConfigurationError } from "../../errors/index.js";
 import type { ConfigurationInForce } from "./configuration-in-force.js";
@@ -26,11 +26,12 @@
 
     replaceAll(items: readonly StoredItem[], storeRevision: number, afterOutage: boolean): void {
         const entries = new Map<string, { entry: ServerEntry; revision: number; }>();
-        const routers = new Map<string, string>();
+        const routers = new Map<string, SocketAddress>();
         for (const item of items) {
             const router = this.routerName(item.key);
-            if (router !== undefined) {
-                routers.set(router, item.value.toString("utf8"));
+            const address = parseSocketAddress(item.value.toString("utf8"));
+            if (router !== undefined && address !== undefined) {
+                routers.set(router, address);
             }
             const id = this.serverId(item.key);
             const entry = id === undefined ? undefined : this.decodeServer(id, item.value);
@@ -101,8 +102,9 @@
     }
 
     private applyRouter(name: string | undefined, value: Buffer | undefined): void {
-        if (name !== undefined && value !== undefined) {
-            this.routers.put(name, value.toString("utf8"));
+        const address = parseSocketAddress(value?.toString("utf8") ?? "");
+        if (name !== undefined && address !== undefined) {
+            this.routers.put(name, address);
         }
         else if (name !== undefined) {
             this.routers.remove(name);
--- a/src/request/gateway/gateway-handler.ts
+++ b/src/request/gateway/gateway-handler.ts
@@ -10,6 +10,7 @@
     BadRequestError,
     BodyTooLargeError,
     ConfigurationMissingError,
+    HeadersTooLargeError,
     InternalError,
     NoServerAvailableError,
     NotFoundError,
@@ -123,6 +124,8 @@
         callerGone: AbortSignal,
     ): Promise<GatewayRequest> {
         const { headers } = this.parts.dialect;
+        const { limits } = version.configuration;
+        checkHeaderBytes(message, limits.maximumHeaderBytes);
         const target = message.url ?? "/";
         const path = target.split("?", 1)[0]!;
         const route = version.findRoute(message.headers.host, path);
@@ -141,7 +144,7 @@
             method: message.method ?? "GET",
             target,
             rawHeaders: message.rawHeaders,
-            body: await readBody(message, version.configuration.limits.maximumBodyBytes),
+            body: await readBody(message, limits.maximumBodyBytes),
             route,
             service: this.pickService(route),
             customer: customer?.name,
@@ -219,6 +222,16 @@
     return typeof value === "string" ? value : undefined;
 }
 
+/** Separators of a header line: a colon, a space and the end of the line. */
+const headerLineOverhead = 4;
+
+function checkHeaderBytes({ rawHeaders }: IncomingMessage, maximumBytes: number): void {
+    const bytes = rawHeaders.reduce((sum, text) => sum + text.length, 0) + headerLineOverhead * rawHeaders.length / 2;
+    if (bytes > maximumBytes) {
+        throw new HeadersTooLargeError(maximumBytes);
+    }
+}
+
 /** Undefined for a request without a body. */
 async function readBody(message: IncomingMessage, maximumBytes: number): Promise<Buffer | undefined> {
     if (message.headers["content-length"] === undefined && message.headers["transfer-encoding"] === undefined) {
--- a/src/request/gateway/stream-forwarder.ts
+++ b/src/request/gateway/stream-forwarder.ts
@@ -293,6 +293,10 @@
                 cost: Math.round(path.cost),
                 registryGeneration: this.parts.registry.generation,
                 lastEventId: this.progress.lastEventId,
+                firstEventMilliseconds: this.progress.begunAt === undefined
+                    ? undefined
+                    : Math.round(this.progress.begunAt - this.request.receivedAt),
+                longestPauseMilliseconds: Math.round(this.progress.longestPauseMilliseconds),
                 milliseconds: Math.round(monotonicNow() - this.request.receivedAt),
             },
         });
--- a/src/request/gateway/stream-progress.ts
+++ b/src/request/gateway/stream-progress.ts
@@ -1,4 +1,5 @@
 /** What a caller has of a stream, over all runs: the head of the first, and events in order without gap or repetition. */
+import { monotonicNow } from "../../common/clock.js";
 import type { ExchangeHead } from "../../connection/gateway/exchange.js";
 import type { CallerResponse } from "./caller-response.js";
 import type { WholeEvent } from "./event-splitter.js";
@@ -9,9 +10,22 @@
     private attempt: StreamAttempt | undefined;
     private watch: StallWatch | undefined;
     private lastId: string | undefined;
+    private firstEventAt: number | undefined;
+    private lastEventAt: number | undefined;
+    private longestPause = 0;
 
     constructor(private readonly response: CallerResponse) {}
 
+    /** Monotonic time of the first event. */
+    get begunAt(): number | undefined {
+        return this.firstEventAt;
+    }
+
+    /** Longest pause between two events so far, in milliseconds. */
+    get longestPauseMilliseconds(): number {
+        return this.longestPause;
+    }
+
     get lastEventId(): string | undefined {
         return this.lastId;
     }
@@ -32,6 +46,7 @@
             return false;
         }
         this.lastId = event.id ?? this.lastId;
+        this.notePause();
         this.watch?.progressed();
         if (!this.response.write(event.bytes)) {
             this.waitForCaller();
@@ -39,6 +54,13 @@
         return true;
     }
 
+    private notePause(): void {
+        const now = monotonicNow();
+        this.firstEventAt ??= now;
+        this.longestPause = Math.max(this.longestPause, now - (this.lastEventAt ?? now));
+        this.lastEventAt = now;
+    }
+
     private waitForCaller(): void {
         const { attempt, watch } = this;
         attempt?.pause();
--- a/test/platform/gateway-fixture.ts
+++ b/test/platform/gateway-fixture.ts
@@ -14,6 +14,7 @@
 import { StoreClient } from "../../platform/store-client.js";
 import { SilentLogger } from "../../src/common/logger.js";
 import { Gateway } from "../../src/daemon/gateway/gateway.js";
+import type { SocketAddress } from "../../src/domain/gateway/server-entry.js";
 import type { StandInBackendServer } from "./stand-ins/backend-server.js";
 import { StandInStore } from "./stand-ins/store.js";
 
@@ -79,12 +80,19 @@
     };
 }
 
+/** A gateway of the fixture with the ports that tests use. */
+interface RunningGateway {
+    readonly gateway: Gateway;
+    readonly callerPort: number;
+    readonly readinessPort: number;
+    readonly peerAddress: SocketAddress;
+}
+
 export class GatewayFixture {
     readonly store = new StandInStore();
     readonly servers: StandInBackendServer[] = [];
-    private gateway: Gateway | undefined;
-    private callerPort = 0;
-    private readinessPort = 0;
+    /** The first one is the one that tests send to. */
+    private readonly gateways: RunningGateway[] = [];
 
     /** Starts a gateway; the servers register before it. */
     static async start(servers: readonly StandInBackendServer[], version?: number): Promise<GatewayFixture> {
@@ -98,46 +106,21 @@
         if (version !== undefined) {
             fixture.store.put(configurationKey, configuration(version));
         }
-        const [callers, readiness, peers, metrics] = await freePorts(4);
-        fixture.callerPort = callers!;
-        fixture.readinessPort = readiness!;
-        const local = (port: number) => ({ host: "127.0.0.1", port });
-        fixture.gateway = new Gateway({
-            router: { name: "edge-1", availabilityZone: "north", region: "land" },
-            listen: {
-                callers: local(callers!),
-                readiness: local(readiness!),
-                peers: local(peers!),
-                metrics: local(metrics!),
-            },
-            store: { address, minimumLeaseMilliseconds: 1_000 },
-            machine: { maximumDescriptors: 1_000, memoryMegabytes: 200 },
-            bounds: {
-                drainMilliseconds: 400,
-                shutdownGraceSeconds: 2,
-                configurationApplyMilliseconds: 2_000,
-                retryRatio: 0.2,
-                retryWindowSeconds: 10,
-                retryExtra: 100,
-                stallMilliseconds: 3_000,
-            },
-        }, {
-            store: new StoreClient(address),
-            layout: {
-                rootPrefix,
-                configurationKey,
-                serverKeyPrefix,
-                routerKeyPrefix,
-                placementLeaderKey,
-                decodeConfiguration,
-                decodeServer: decodeServerEntry,
-            },
-            dialect: platformDialect,
-        }, new SilentLogger());
-        await fixture.gateway.start();
+        fixture.gateways.push(await startGateway("edge-1", address, []));
         return fixture;
     }
 
+    get callerPort(): number {
+        return this.gateways[0]!.callerPort;
+    }
+
+    /** Starts another gateway, which never reaches the store, and has tests send to it. */
+    async addTurnedAway(): Promise<void> {
+        const [closedPort] = await freePorts(1);
+        const store = { host: "127.0.0.1", port: closedPort! };
+        this.gateways.unshift(await startGateway("edge-2", store, [this.gateways[0]!.peerAddress]));
+    }
+
     register(server: StandInBackendServer, changes: Record<string, unknown> = {}): void {
         this.store.put(`${serverKeyPrefix}${server.id}`, server.entry(changes));
     }
@@ -158,7 +141,7 @@
     }
 
     async ready(): Promise<boolean> {
-        return (await call(this.readinessPort, "GET", "/ready", {})).status === 200;
+        return (await call(this.gateways[0]!.readinessPort, "GET", "/ready", {})).status === 200;
     }
 
     send(method: string, path: string, headers: Record<string, string> = {}, body?: string): Promise<Answer> {
@@ -189,12 +172,56 @@
     }
 
     async stop(): Promise<void> {
-        await this.gateway?.stop();
+        await Promise.all(this.gateways.map(({ gateway }) => gateway.stop()));
         await Promise.all(this.servers.map(server => server.stop()));
         await this.store.stop();
     }
 }
 
+async function startGateway(
+    name: string,
+    store: SocketAddress,
+    contacts: readonly SocketAddress[],
+): Promise<RunningGateway> {
+    const [callers, readiness, peers, metrics] = await freePorts(4);
+    const local = (port: number | undefined) => ({ host: "127.0.0.1", port: port! });
+    const gateway = new Gateway({
+        router: { name, availabilityZone: "north", region: "land" },
+        listen: {
+            callers: local(callers),
+            readiness: local(readiness),
+            peers: local(peers),
+            metrics: local(metrics),
+        },
+        contacts: [...contacts],
+        store: { address: store, minimumLeaseMilliseconds: 1_000 },
+        machine: { maximumDescriptors: 1_000, memoryMegabytes: 200 },
+        bounds: {
+            drainMilliseconds: 400,
+            shutdownGraceSeconds: 2,
+            configurationApplyMilliseconds: 2_000,
+            retryRatio: 0.2,
+            retryWindowSeconds: 10,
+            retryExtra: 100,
+            stallMilliseconds: 3_000,
+        },
+    }, {
+        store: new StoreClient(store),
+        layout: {
+            rootPrefix,
+            configurationKey,
+            serverKeyPrefix,
+            routerKeyPrefix,
+            placementLeaderKey,
+            decodeConfiguration,
+            decodeServer: decodeServerEntry,
+        },
+        dialect: platformDialect,
+    }, new SilentLogger());
+    await gateway.start();
+    return { gateway, callerPort: callers!, readinessPort: readiness!, peerAddress: local(peers) };
+}
+
 function call(
     port: number,
     method: string,
--- a/test/platform/gateway.test.ts
+++ b/test/platform/gateway.test.ts
@@ -83,6 +83,13 @@
         expect(receivedBy()).toBe(0);
     });
 
+    test("headers beyond the operator's limit get 431 and never reach a server", async () => {
+        await startWith("answer");
+        expect(await fixture.send("GET", "/look/1", { "X-Own": "x".repeat(16_384) })).toMatchObject({ status: 431 });
+        expect(await fixture.send("GET", "/look/1", { "X-Own": "x".repeat(15_000) })).toMatchObject({ status: 200 });
+        expect(receivedBy()).toBe(1);
+    });
+
     test("what may be repeated is not sent again once its caller has left", async () => {
         await startWith("mute");
         await expect(fixture.sendAndLeave("GET", "/look/1", 100)).resolves.toBeUndefined();
@@ -125,6 +132,19 @@
         fixture.store.down = false;
         await fixture.until(async () => (await fixture.send("GET", "/look/1")).status === 200);
     });
+
+    test("is learnt from another router, with the registry, by one that the store turns away", async () => {
+        fixture = await GatewayFixture.start([new StandInBackendServer("app-1", "app")], 1);
+        await fixture.until(async () => (await fixture.send("GET", "/look/1")).status === 200);
+        await fixture.addTurnedAway();
+        await fixture.until(async () => (await fixture.send("GET", "/look/1")).status === 200);
+        fixture.publish(2, { tenants: [{ name: "other", api_keys: ["key-2"] }] });
+        await fixture.until(async () => (await fixture.send("GET", "/look/1")).status === 401);
+        fixture.publish(3);
+        await fixture.until(async () => (await fixture.send("GET", "/look/1")).status === 200);
+        fixture.register(fixture.servers[0]!, { state: "draining" });
+        await fixture.until(async () => (await fixture.send("GET", "/look/1")).status === 503);
+    });
 });
 
 describe("streams", () => {
@@ -181,7 +201,7 @@
             server.eventMilliseconds = 200;
         });
         const { request } = await import("node:http");
-        const port = (fixture as unknown as { callerPort: number; }).callerPort;
+        const port = fixture.callerPort;
         const sent = request({
             host: "127.0.0.1",
             port,
