--- /dev/null
+++ b/bench/startup.bench.ts
@@ -0,0 +1,141 @@
+/**
+ * The deployed program as a process: the processor time until it listens, and its memory when idle. Every restart pays
+ * the first, out of less than half of a core; memory is priced on the users' platform. Bounds from issue 10: 0.35 s of
+ * processor time, 70 MB. Bare Node stands beside it as the baseline.
+ */
+import { type ChildProcess, spawn } from "node:child_process";
+import { once } from "node:events";
+import { readFileSync } from "node:fs";
+import { mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
+import { connect } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { delay } from "../src/common/clock.js";
+import { atMost, type Benchmark, type Figure, quantile } from "./figures.js";
+
+const processorSecondsBound = 0.35;
+const idleMegabytesBound = 70;
+const runs = 7;
+const callerPort = 18_327;
+const idleMilliseconds = 1_500;
+const listenTimeoutMilliseconds = 10_000;
+const pollMilliseconds = 5;
+/** Of /proc/PID/stat on Linux. */
+const ticksPerSecond = 100;
+const kilobytesPerMegabyte = 1_024;
+
+interface ProcessFigures {
+    readonly processorSeconds: number;
+    readonly idleMegabytes: number;
+}
+
+/** Settings as the platform renders them, with every address on loopback; nothing answers as the store. */
+async function writeSettings(directory: string): Promise<string> {
+    const template = await readFile(new URL("../../deploy/router-settings.jsonc", import.meta.url), "utf8");
+    const address = (offset: number) => `"127.0.0.1:${callerPort + offset}"`;
+    const values: Readonly<Record<string, string>> = {
+        "listen.front|json": address(0),
+        "listen.ready_addr|json": address(1),
+        "listen.control|json": address(2),
+        "platform.address|json": address(4),
+        "seeds|json": "[]",
+        "ip": "127.0.0.1",
+        "port_range.0": String(callerPort + 3),
+        "node_name|json": '"edge"',
+        "zone|json": '"zone"',
+        "region|json": '"region"',
+    };
+    const text = template.replaceAll(/\{\{([^}]+)\}\}/g, (_match, name: string) => values[name] ?? "1000");
+    const file = join(directory, "settings.jsonc");
+    await writeFile(file, text);
+    return file;
+}
+
+async function measureRouter(settingsFile: string): Promise<ProcessFigures> {
+    const bundle = new URL("../../target/router.mjs", import.meta.url).pathname;
+    const child = spawn(process.execPath, ["--max-semi-space-size=1", "--max-old-space-size=160", bundle], {
+        env: { ...process.env, POMELOSTALL_SETTINGS: settingsFile },
+        stdio: ["ignore", "ignore", "inherit"],
+    });
+    await listens(callerPort);
+    const processorSeconds = readProcessorSeconds(child);
+    await delay(idleMilliseconds);
+    const idleMegabytes = readResidentMegabytes(child);
+    child.kill("SIGKILL");
+    await once(child, "exit");
+    return { processorSeconds, idleMegabytes };
+}
+
+async function measureBareNode(): Promise<ProcessFigures> {
+    const child = spawn(process.execPath, ["-e", "process.stdout.write('x'); setInterval(() => {}, 1000)"], {
+        stdio: ["ignore", "pipe", "inherit"],
+    });
+    await once(child.stdout, "data");
+    const figures = { processorSeconds: readProcessorSeconds(child), idleMegabytes: readResidentMegabytes(child) };
+    child.kill("SIGKILL");
+    await once(child, "exit");
+    return figures;
+}
+
+async function listens(port: number): Promise<void> {
+    const end = performance.now() + listenTimeoutMilliseconds;
+    while (performance.now() < end && !await accepts(port)) {
+        await delay(pollMilliseconds);
+    }
+}
+
+function accepts(port: number): Promise<boolean> {
+    return new Promise(resolve => {
+        const socket = connect(port, "127.0.0.1");
+        const settle = (result: boolean) => {
+            socket.destroy();
+            resolve(result);
+        };
+        socket.once("connect", () => settle(true));
+        socket.once("error", () => settle(false));
+    });
+}
+
+function readProcessorSeconds({ pid }: ChildProcess): number {
+    const afterName = readFileSync(`/proc/${pid}/stat`, "latin1").split(") ")[1] ?? "";
+    const fields = afterName.split(" ");
+    // The 14th and 15th fields of the whole line: time in user and in kernel mode.
+    return (Number(fields[11]) + Number(fields[12])) / ticksPerSecond;
+}
+
+function readResidentMegabytes({ pid }: ChildProcess): number {
+    const match = /VmRSS:\s+(\d+) kB/.exec(readFileSync(`/proc/${pid}/status`, "latin1"));
+    return Number(match?.[1] ?? Number.NaN) / kilobytesPerMegabyte;
+}
+
+export const benchmark: Benchmark = {
+    name: "startup",
+    async run(): Promise<readonly Figure[]> {
+        const directory = await mkdtemp(join(tmpdir(), "pomelostall-"));
+        const settings = await writeSettings(directory);
+        const router: ProcessFigures[] = [];
+        const bare: ProcessFigures[] = [];
+        for (let run = 0; run < runs; run++) {
+            router.push(await measureRouter(settings));
+            bare.push(await measureBareNode());
+        }
+        await rm(directory, { recursive: true });
+        const median = (all: readonly ProcessFigures[], pick: (figures: ProcessFigures) => number) =>
+            quantile(all.map(pick), 0.5);
+        return [{
+            bench: "startup",
+            figure: "processor time until the deployed program listens",
+            value: median(router, ({ processorSeconds }) => processorSeconds),
+            unit: "s",
+            bound: atMost(processorSecondsBound),
+            baseline: median(bare, ({ processorSeconds }) => processorSeconds),
+        }, {
+            bench: "startup",
+            figure: "resident when idle",
+            value: median(router, ({ idleMegabytes }) => idleMegabytes),
+            unit: "MB",
+            bound: atMost(idleMegabytesBound),
+            baseline: median(bare, ({ idleMegabytes }) => idleMegabytes),
+        }];
+    },
+};
--- a/src/connection/gateway/peer-notices.ts
+++ b/src/connection/gateway/peer-notices.ts
@@ -1,15 +1,24 @@
-/** Sends placement notices to other routers: one small HTTP request for each notice and router, with a JSON body. */
+/** Sends placement notices to other routers: one small HTTP request for each notice and router, with JSON bodies. */
 import { request as sendRequest } from "node:http";
 import * as z from "zod/mini";
 import type { Logger } from "../../common/logger.js";
-import type { NoticeSender, PlacementNotice } from "../../domain/gateway/placement-notice.js";
+import type {
+    LoadReceiver,
+    NoticeSender,
+    PlacementNotice,
+    ServerLoads,
+} from "../../domain/gateway/placement-notice.js";
 import { formatSocketAddress, type SocketAddress } from "../../domain/gateway/server-entry.js";
+import { readText } from "./read-text.js";
 
 export const noticePath = "/placement-notice";
 /** A router that does not take a notice within this time gets the next one. */
 const timeoutMilliseconds = 500;
 
-export const noticeSchema = z.object({
+/** Requests and tokens by the ID of a backend server. */
+const loadsSchema = z.record(z.string(), z.tuple([z.number(), z.number()]));
+
+const noticeSchema = z.object({
     sender: z.string(),
     servers: z.array(z.object({
         id: z.string(),
@@ -17,19 +26,37 @@
         layers: z.optional(z.object({ first: z.number(), last: z.number() })),
         lost: z.boolean(),
     })),
+    otherLoads: loadsSchema,
 });
 
+export function encodeNotice({ sender, servers, otherLoads }: PlacementNotice): Buffer {
+    return Buffer.from(JSON.stringify({ sender, servers, otherLoads: formatLoads(otherLoads) }));
+}
+
+/** Throws on a text that is no notice. */
+export function decodeNotice(text: string): PlacementNotice {
+    const { sender, servers, otherLoads } = noticeSchema.parse(JSON.parse(text));
+    return {
+        sender,
+        servers: servers.map(({ id, bornAt, layers, lost }) => ({ id, bornAt, layers, lost })),
+        otherLoads: readLoads(otherLoads),
+    };
+}
+
+export function encodeLoads(loads: ServerLoads): Buffer {
+    return Buffer.from(JSON.stringify(formatLoads(loads)));
+}
+
 export class HttpNoticeSender implements NoticeSender {
     private failures = 0;
 
     constructor(private readonly routers: () => readonly SocketAddress[], private readonly logger: Logger) {}
 
-    send(notice: PlacementNotice): void {
-        const body = Buffer.from(JSON.stringify(notice));
-        this.routers().forEach(router => this.sendTo(router, body));
+    send(noticeFor: (router: SocketAddress) => PlacementNotice, answered: LoadReceiver): void {
+        this.routers().forEach(router => this.sendTo(router, encodeNotice(noticeFor(router)), answered));
     }
 
-    private sendTo(router: SocketAddress, body: Buffer): void {
+    private sendTo(router: SocketAddress, body: Buffer, answered: LoadReceiver): void {
         const request = sendRequest({
             agent: false,
             host: router.host,
@@ -39,16 +66,29 @@
             timeout: timeoutMilliseconds,
             headers: { "content-type": "application/json", "content-length": String(body.length) },
         });
-        request.on("timeout", () => request.destroy());
-        request.on("response", response => response.resume());
-        request.on("error", error => {
+        const fail = (error: unknown) => {
             this.failures++;
             this.logger.debug("a router did not take a notice", {
                 router: formatSocketAddress(router),
                 failures: this.failures,
-                error: error.message,
+                error: String(error),
             });
+        };
+        request.on("timeout", () => request.destroy());
+        request.on("response", response => {
+            readText(response)
+                .then(text => answered(router, readLoads(loadsSchema.parse(JSON.parse(text)))))
+                .catch(fail);
         });
+        request.on("error", fail);
         request.end(body);
     }
 }
+
+function formatLoads(loads: ServerLoads): Record<string, [number, number]> {
+    return Object.fromEntries([...loads].map(([id, { requests, tokens }]) => [id, [requests, tokens]]));
+}
+
+function readLoads(loads: z.infer<typeof loadsSchema>): ServerLoads {
+    return new Map(Object.entries(loads).map(([id, [requests, tokens]]) => [id, { requests, tokens }]));
+}
--- a/src/connection/gateway/peer-server.ts
+++ b/src/connection/gateway/peer-server.ts
@@ -1,16 +1,15 @@
 /** Serves the other routers: takes placement notices, and gives what this router knows of the platform's store. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Logger } from "../../common/logger.js";
-import type { PlacementNotice } from "../../domain/gateway/placement-notice.js";
+import type { PlacementNotice, ServerLoads } from "../../domain/gateway/placement-notice.js";
 import type { StoreSnapshot } from "../../domain/gateway/store-snapshot.js";
-import { noticePath, noticeSchema } from "./peer-notices.js";
+import { decodeNotice, encodeLoads, noticePath } from "./peer-notices.js";
 import { afterParameter, encodeSnapshot, snapshotPath } from "./peer-snapshots.js";
-
-/** A notice has some 100 bytes for each server. */
-const maximumNoticeBytes = 1_000_000;
+import { readText } from "./read-text.js";
 
 export interface PeerServerParts {
-    receiveNotice(notice: PlacementNotice): void;
+    /** Takes a notice and gives what this router has running. */
+    receiveNotice(notice: PlacementNotice): ServerLoads;
     /** Undefined if this router knows nothing newer than the revision. */
     snapshotAfter(revision: number): StoreSnapshot | undefined;
     readonly logger: Logger;
@@ -33,8 +32,8 @@
 
 async function takeNotice(message: IncomingMessage, response: ServerResponse, parts: PeerServerParts): Promise<void> {
     try {
-        parts.receiveNotice(noticeSchema.parse(JSON.parse(await readText(message))) as PlacementNotice);
-        answer(response, 204);
+        const notice = decodeNotice(await readText(message));
+        answerJson(response, encodeLoads(parts.receiveNotice(notice)));
     }
     catch (error) {
         parts.logger.warn("a notice could not be read", { error: String(error) });
@@ -48,21 +47,12 @@
         answer(response, 204);
         return;
     }
-    const body = encodeSnapshot(snapshot);
-    response.writeHead(200, { "Content-Type": "application/json", "Content-Length": String(body.length) });
-    response.end(body);
+    answerJson(response, encodeSnapshot(snapshot));
 }
 
-async function readText(message: IncomingMessage): Promise<string> {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
-    for await (const chunk of message) {
-        bytes += (chunk as Buffer).length;
-        if (bytes <= maximumNoticeBytes) {
-            chunks.push(chunk as Buffer);
-        }
-    }
-    return Buffer.concat(chunks).toString("utf8");
+function answerJson(response: ServerResponse, body: Buffer): void {
+    response.writeHead(200, { "Content-Type": "application/json", "Content-Length": String(body.length) });
+    response.end(body);
 }
 
 function answer(response: ServerResponse, status: number): void {
--- a/src/connection/gateway/peer-snapshots.ts
+++ b/src/connection/gateway/peer-snapshots.ts
@@ -1,9 +1,10 @@
 /** Asks other routers over HTTP for what they know of the platform's store: a JSON body, values as base64 text. */
-import { type IncomingMessage, request as sendRequest } from "node:http";
+import { request as sendRequest } from "node:http";
 import * as z from "zod/mini";
 import { formatSocketAddress, type SocketAddress } from "../../domain/gateway/server-entry.js";
 import type { SnapshotSource, StoreSnapshot } from "../../domain/gateway/store-snapshot.js";
 import { PeerUnreachableError } from "../../errors/index.js";
+import { readText } from "./read-text.js";
 
 export const snapshotPath = "/store-snapshot";
 export const afterParameter = "after";
@@ -67,14 +68,6 @@
     }
 }
 
-async function readText(response: IncomingMessage): Promise<string> {
-    const chunks: Buffer[] = [];
-    for await (const chunk of response) {
-        chunks.push(chunk as Buffer);
-    }
-    return Buffer.concat(chunks).toString("utf8");
-}
-
 /** Undefined for a text that is not JSON, which the schema then refuses. */
 function parseJson(text: string): unknown {
     try {
--- a/src/connection/gateway/reachability.ts
+++ b/src/connection/gateway/reachability.ts
@@ -7,7 +7,9 @@
 import type { ServerEntry } from "../../domain/gateway/server-entry.js";
 
 /** Some ten round trips between zones and the handshake of a busy server. */
-const answerMilliseconds = 30;
+const answerMilliseconds = 18;
+/** A second connection is tried after this time, since the first one's packet may be lost on the way. */
+const secondTryMilliseconds = 8;
 /** A result serves all requests that ask within this time. */
 const cacheMilliseconds = 300;
 
@@ -48,14 +50,22 @@
 
 function takesConnection({ address }: ServerEntry): Promise<boolean> {
     return new Promise(resolve => {
-        const socket = connect(address.port, address.host);
         const settle = (reachable: boolean) => {
-            clearTimeout(timer);
-            socket.destroy();
+            timers.forEach(timer => clearTimeout(timer));
+            sockets.forEach(socket => socket.destroy());
             resolve(reachable);
         };
-        const timer = setTimeout(() => settle(false), answerMilliseconds);
-        socket.once("connect", () => settle(true));
-        socket.once("error", () => settle(false));
+        const open = () => {
+            const socket = connect(address.port, address.host);
+            socket.once("connect", () => settle(true));
+            socket.once("error", () => settle(false));
+            return socket;
+        };
+        const sockets = [open()];
+        const timers = [
+            setTimeout(() => sockets.push(open()), secondTryMilliseconds),
+            // Answers that arrived while this process was busy are taken in before the verdict.
+            setTimeout(() => setImmediate(() => settle(false)), answerMilliseconds),
+        ];
     });
 }
--- a/src/daemon/gateway/gateway.ts
+++ b/src/daemon/gateway/gateway.ts
@@ -102,13 +102,18 @@
 
     private addParts(metrics: TextMetrics): void {
         const { listen } = this.settings;
+        const { fleetLoad } = this.requestPath;
         const { registry, follower, image, relay, routers, leadership } = this.state;
         const readiness = createServer((_request, response) => {
             response.writeHead(this.isReady() ? 200 : 503, { "Content-Length": "0" });
             response.end();
         });
         const peers = createPeerServer({
-            receiveNotice: notice => registry.applyNotice(notice),
+            receiveNotice: notice => {
+                registry.applyNotice(notice.servers);
+                fleetLoad.applyOthers(notice.otherLoads);
+                return fleetLoad.ownLoads;
+            },
             snapshotAfter: revision => image.snapshotAfter(revision),
             logger: this.logger.withLabel("peers"),
         });
--- a/src/daemon/gateway/request-path.ts
+++ b/src/daemon/gateway/request-path.ts
@@ -5,6 +5,8 @@
 import { HttpServerControl } from "../../connection/gateway/http-server-control.js";
 import { HttpNoticeSender } from "../../connection/gateway/peer-notices.js";
 import { ConnectReachabilityCheck } from "../../connection/gateway/reachability.js";
+import { FirstEventTimes } from "../../process/gateway/first-event-times.js";
+import { FleetLoad } from "../../process/gateway/fleet-load.js";
 import { PlacementLoop } from "../../process/gateway/layer-placement/placement-loop.js";
 import { ZoneLayerPlanner } from "../../process/gateway/layer-placement/zone-layer-planner.js";
 import { RetryAllowance } from "../../process/gateway/retry-allowance.js";
@@ -15,6 +17,7 @@
 import { GatewayHeaders } from "../../request/gateway/headers.js";
 import { LayerPathChooser } from "../../request/gateway/layer-path-chooser.js";
 import { CheapestLayerPathFinder } from "../../request/gateway/layer-path-finder.js";
+import { FewestCrossings } from "../../request/gateway/lost-part-policy.js";
 import { PlainForwarder } from "../../request/gateway/plain-forwarder.js";
 import { LeastLoadedServerChooser } from "../../request/gateway/plain-server-chooser.js";
 import { StreamForwarder } from "../../request/gateway/stream-forwarder.js";
@@ -40,6 +43,7 @@
     readonly handler: GatewayHandler;
     readonly paths: LayerPathChooser;
     readonly placement: PlacementLoop;
+    readonly fleetLoad: FleetLoad;
 }
 
 export function createRequestPath(options: RequestPathOptions): RequestPath {
@@ -49,10 +53,10 @@
     const load = new ServerLoad();
     const suspicions = new ServerSuspicions(logger.withLabel("suspicions"));
     const control = new HttpServerControl(dialect);
-    const paths = new LayerPathChooser(registry, load, suspicions, new CheapestLayerPathFinder(random), {
+    const fleetLoad = new FleetLoad(load, () => routers.count);
+    const paths = new LayerPathChooser(registry, fleetLoad, suspicions, new CheapestLayerPathFinder(random), {
         homeZone: settings.router.availabilityZone,
         leavingUseMilliseconds,
-        routerCount: () => routers.count,
     });
     const shared = {
         dialect,
@@ -64,13 +68,20 @@
         logger: logger.withLabel("request"),
     };
     const servers = new LeastLoadedServerChooser(registry, load, suspicions, random, leavingUseMilliseconds);
-    const reachability = new ConnectReachabilityCheck();
     const handler = new GatewayHandler({
         dialect,
         currentVersion: () => options.currentVersion(),
         closing: () => options.closing(),
         plain: new PlainForwarder({ ...shared, servers }),
-        streams: new StreamForwarder({ ...shared, paths, registry, control, reachability }),
+        streams: new StreamForwarder({
+            ...shared,
+            paths,
+            registry,
+            control,
+            reachability: new ConnectReachabilityCheck(),
+            policy: new FewestCrossings(),
+            firstEvents: new FirstEventTimes(),
+        }),
         random,
         metrics,
         logger: shared.logger,
@@ -82,11 +93,12 @@
         suspicions,
         planner: new ZoneLayerPlanner(),
         control,
+        fleetLoad,
         notices: new HttpNoticeSender(() => routers.others, logger.withLabel("notices")),
         routerName: settings.router.name,
         logger: logger.withLabel("placement"),
     });
-    return { handler, paths, placement };
+    return { handler, paths, placement, fleetLoad };
 }
 
 function createRetryAllowance({ bounds }: GatewaySettings, { routers }: KnownState): RetryAllowance {
--- a/src/domain/gateway/placement-notice.ts
+++ b/src/domain/gateway/placement-notice.ts
@@ -1,5 +1,9 @@
-/** What the router that leads placement tells the others directly, ahead of the registry and while the store is away. */
+/**
+ * What the router that leads placement tells the others directly, ahead of the registry and while the store is away, and
+ * what they answer.
+ */
 import type { LayerRange } from "../layers.js";
+import type { SocketAddress } from "./server-entry.js";
 
 export interface ServerNotice {
     readonly id: string;
@@ -11,12 +15,29 @@
     readonly lost: boolean;
 }
 
+/** What runs on one backend server. */
+export interface LoadFigure {
+    readonly requests: number;
+    /** Tokens of these requests, prompt and expected answer. */
+    readonly tokens: number;
+}
+
+/** By the ID of the backend server. */
+export type ServerLoads = ReadonlyMap<string, LoadFigure>;
+
 export interface PlacementNotice {
     readonly sender: string;
     readonly servers: readonly ServerNotice[];
+    /** What all routers but the receiver have running. */
+    readonly otherLoads: ServerLoads;
 }
 
-/** Sends a notice to every other router; failures are logged, as the next notice follows soon. */
 export interface NoticeSender {
-    send(notice: PlacementNotice): void;
+    /**
+     * Sends a notice to every other router; each that takes it answers with what it has running itself. Failures are
+     * logged, as the next notice follows soon.
+     */
+    send(noticeFor: (router: SocketAddress) => PlacementNotice, answered: LoadReceiver): void;
 }
+
+export type LoadReceiver = (router: SocketAddress, loads: ServerLoads) => void;
--- a/src/process/gateway/layer-placement/placement-loop.ts
+++ b/src/process/gateway/layer-placement/placement-loop.ts
@@ -9,9 +9,10 @@
 import type { EngineProfile } from "../../../domain/gateway/configuration.js";
 import type { NoticeSender, ServerNotice } from "../../../domain/gateway/placement-notice.js";
 import type { ServerControl } from "../../../domain/gateway/server-control.js";
-import { OrderOutcome, type ServerEntry } from "../../../domain/gateway/server-entry.js";
+import { formatSocketAddress, OrderOutcome, type ServerEntry } from "../../../domain/gateway/server-entry.js";
 import { formatLayerRange, layerCount, type LayerRange } from "../../../domain/layers.js";
 import type { ConfigurationInForce } from "../configuration-in-force.js";
+import type { FleetLoad } from "../fleet-load.js";
 import type { ServerRegistry } from "../server-registry.js";
 import type { ServerSuspicions } from "../server-suspicions.js";
 import { EngineView } from "./engine-view.js";
@@ -29,7 +30,7 @@
 /** How often the loop looks at orders and suspects. */
 const reviewMilliseconds = 250;
 /** Every so many reviews the leader repeats what it knows to the other routers. */
-const reviewsPerNotice = 4;
+const reviewsPerNotice = 2;
 /** The registry is taken as complete once it has not changed for this long at a first start. */
 const settleMilliseconds = 1_500;
 const millisecondsPerSecond = 1_000;
@@ -46,6 +47,7 @@
     readonly planner: LayerPlanner;
     readonly control: ServerControl;
     readonly notices: NoticeSender;
+    readonly fleetLoad: FleetLoad;
     /** Names this router in notices. */
     readonly routerName: string;
     readonly logger: Logger;
@@ -113,7 +115,7 @@
             range === undefined ? [] : [{ id, availabilityZone, range }]
         );
         const standby = findStandbyServers(holders, engine.layerCount);
-        const planned = views.flatMap(view => describe(view, engine, standby.has(view.server.id)));
+        const planned = views.flatMap(view => this.describe(view, engine, standby.has(view.server.id)));
         for (const [id, range] of this.parts.planner.plan(planned, engine.layerCount)) {
             void this.order(this.views.get(id)!, range, engine);
         }
@@ -188,33 +190,34 @@
         });
     }
 
-    /** Tells all routers of servers whose state differs from the registry's. */
+    /** Tells all routers of servers whose state differs from the registry's, and of the fleet's load. */
     private sendNotice(): void {
         const servers: ServerNotice[] = [...this.views.values()]
             .filter(view => view.differsFromRegistry)
             .map(({ server, holds, lost }) => ({ id: server.id, bornAt: server.bornAt, layers: holds, lost }));
-        if (servers.length === 0) {
-            return;
-        }
-        const notice = { sender: this.parts.routerName, servers };
-        this.parts.registry.applyNotice(notice);
-        this.parts.notices.send(notice);
+        const { registry, fleetLoad, notices, routerName: sender } = this.parts;
+        registry.applyNotice(servers);
+        notices.send(
+            router => ({ sender, servers, otherLoads: fleetLoad.sumWithout(formatSocketAddress(router)) }),
+            (router, loads) => fleetLoad.notePart(formatSocketAddress(router), loads),
+        );
     }
-}
 
-function describe(view: EngineView, engine: EngineProfile, standby: boolean): PlannedServer[] {
-    const kind = engine.kinds.get(view.server.kind ?? "");
-    if (kind === undefined) {
-        return [];
+    private describe(view: EngineView, engine: EngineProfile, standby: boolean): PlannedServer[] {
+        const kind = engine.kinds.get(view.server.kind ?? "");
+        if (kind === undefined) {
+            return [];
+        }
+        return [{
+            id: view.server.id,
+            availabilityZone: view.server.availabilityZone,
+            comfortableLayers: layersThatFit(engine, kind, comfortableReserve),
+            maximumLayers: layersThatFit(engine, kind, tightReserve),
+            stepFactor: kind.stepFactor,
+            standby,
+            runningTokens: this.parts.fleetLoad.tokens(view.server.id),
+            ordered: view.ordering,
+            range: view.range,
+        }];
     }
-    return [{
-        id: view.server.id,
-        availabilityZone: view.server.availabilityZone,
-        comfortableLayers: layersThatFit(engine, kind, comfortableReserve),
-        maximumLayers: layersThatFit(engine, kind, tightReserve),
-        stepFactor: kind.stepFactor,
-        standby,
-        ordered: view.ordering,
-        range: view.range,
-    }];
 }
--- a/src/process/gateway/layer-placement/types.ts
+++ b/src/process/gateway/layer-placement/types.ts
@@ -13,6 +13,8 @@
     readonly stepFactor: number;
     /** Others hold its layers too, and requests pass it over. */
     readonly standby: boolean;
+    /** Tokens of the requests that pass through it; they are disturbed if it gives layers up. */
+    readonly runningTokens: number;
     /** It carries out an order and takes no other. */
     readonly ordered: boolean;
     readonly range: LayerRange | undefined;
--- a/src/process/gateway/layer-placement/zone-layer-planner.ts
+++ b/src/process/gateway/layer-placement/zone-layer-planner.ts
@@ -149,7 +149,8 @@
         : right.comfortableLayers - left.comfortableLayers;
     const byIdle = Number(ranges.get(left.id) !== undefined) - Number(ranges.get(right.id) !== undefined);
     const byStandby = Number(right.standby) - Number(left.standby);
-    return byIdle || byStandby || bySize || left.stepFactor - right.stepFactor || compareIds(left, right);
+    const byLoad = left.runningTokens - right.runningTokens;
+    return byIdle || byStandby || byLoad || bySize || left.stepFactor - right.stepFactor || compareIds(left, right);
 }
 
 function compareIds(left: PlannedServer, right: PlannedServer): number {
--- a/src/process/gateway/server-load.ts
+++ b/src/process/gateway/server-load.ts
@@ -1,12 +1,12 @@
 /** What this router has running on each backend server. */
-
-interface Load {
-    requests: number;
-    tokens: number;
-}
+import type { LoadFigure, ServerLoads } from "../../domain/gateway/placement-notice.js";
 
 export class ServerLoad {
-    private readonly loads = new Map<string, Load>();
+    private readonly loads = new Map<string, LoadFigure>();
+
+    get all(): ServerLoads {
+        return this.loads;
+    }
 
     requests(serverId: string): number {
         return this.loads.get(serverId)?.requests ?? 0;
@@ -30,9 +30,8 @@
     }
 
     private change(id: string, requests: number, tokens: number): void {
-        const load = this.loads.get(id) ?? { requests: 0, tokens: 0 };
-        load.requests += requests;
-        load.tokens += tokens;
+        const before = this.loads.get(id);
+        const load = { requests: (before?.requests ?? 0) + requests, tokens: (before?.tokens ?? 0) + tokens };
         if (load.requests === 0) {
             this.loads.delete(id);
         }
--- a/src/process/gateway/server-registry.ts
+++ b/src/process/gateway/server-registry.ts
@@ -5,9 +5,9 @@
  */
 import { monotonicNow } from "../../common/clock.js";
 import type { Logger } from "../../common/logger.js";
-import type { PlacementNotice, ServerNotice } from "../../domain/gateway/placement-notice.js";
+import type { ServerNotice } from "../../domain/gateway/placement-notice.js";
 import { formatSocketAddress, type ServerEntry } from "../../domain/gateway/server-entry.js";
-import { formatLayerRange } from "../../domain/layers.js";
+import { formatLayerRange, type LayerRange } from "../../domain/layers.js";
 
 /** A backend server with what this process knows of its departure. */
 export interface RegisteredServer {
@@ -50,6 +50,7 @@
     private readonly registrations = new Map<string, Registration>();
     private readonly notices = new Map<string, RetainedNotice>();
     private readonly listeners = new Set<() => void>();
+    private readonly noticeListeners = new Set<() => void>();
     private complete = false;
     private settlingUntil = Infinity;
     private changeCount = 0;
@@ -77,6 +78,11 @@
         return () => this.listeners.delete(listener);
     }
 
+    /** Calls the listener after each of the leader's notices. */
+    onNotice(listener: () => void): void {
+        this.noticeListeners.add(listener);
+    }
+
     get(id: string): RegisteredServer | undefined {
         return this.registrations.get(id);
     }
@@ -162,7 +168,7 @@
     }
 
     /** Takes what the leader says of servers. It holds for a short time, or until the registry has newer news. */
-    applyNotice({ servers }: PlacementNotice): void {
+    applyNotice(servers: readonly ServerNotice[]): void {
         const expiresAt = monotonicNow() + noticeLifeMilliseconds;
         for (const notice of servers) {
             const registration = this.registrations.get(notice.id);
@@ -171,6 +177,17 @@
             }
         }
         this.changeCount++;
+        [...this.noticeListeners].forEach(listener => listener());
+    }
+
+    /** Whether a server that was chosen for the layers no longer computes them, though it does not leave. */
+    hasGivenUp(server: ServerEntry, layers: LayerRange): boolean {
+        const registration = this.registrations.get(server.id);
+        if (registration === undefined || registration.leavingSince !== undefined) {
+            return false;
+        }
+        const [current] = this.correct(registration);
+        return current === undefined || current.bornAt !== server.bornAt || !covers(current.layers, layers);
     }
 
     private present(service: string): Registration[] {
@@ -209,3 +226,7 @@
         }
     }
 }
+
+function covers(held: LayerRange | undefined, layers: LayerRange): boolean {
+    return held !== undefined && held.first <= layers.first && layers.last <= held.last;
+}
--- a/src/process/gateway/server-suspicions.ts
+++ b/src/process/gateway/server-suspicions.ts
@@ -8,6 +8,8 @@
 /** About the time after which the registry has dropped a server that died: three missed heartbeats. */
 const firstPauseMilliseconds = 1_000;
 const maximumPauseMilliseconds = 8_000;
+/** A server that refuses for want of room has some again when some of its requests end. */
+const refusalPauseMilliseconds = 300;
 /** A failure this long after the last pause counts as the first. */
 const forgetMilliseconds = 10_000;
 
@@ -37,6 +39,20 @@
         this.logger.warn("backend server is passed over", { server: serverId, reason, failures, milliseconds: pause });
     }
 
+    /** The server refused a request for want of room, which says nothing about the next ones a little later. */
+    noteRefusal(serverId: string, reason: string): void {
+        const before = this.suspicions.get(serverId);
+        const until = monotonicNow() + refusalPauseMilliseconds;
+        if (before === undefined || before.until < until) {
+            this.suspicions.set(serverId, { until, failures: before?.failures ?? 0 });
+            this.logger.info("backend server has no room", {
+                server: serverId,
+                reason,
+                milliseconds: refusalPauseMilliseconds,
+            });
+        }
+    }
+
     noteSuccess(serverId: string): void {
         if (this.suspicions.delete(serverId)) {
             this.logger.info("backend server is used again", { server: serverId });
--- a/src/request/gateway/bounded-wait.ts
+++ b/src/request/gateway/bounded-wait.ts
@@ -7,13 +7,20 @@
 const maximumWaitMilliseconds = 1_000;
 const reviewMilliseconds = 25;
 
+export interface WaitLimits {
+    /** Monotonic time since which the caller has seen nothing; several waits for one request share their time. */
+    readonly since: number;
+    /** The caller's whole time. */
+    readonly patienceMilliseconds: number;
+    readonly callerGone: AbortSignal;
+}
+
 /** The first defined result, or undefined if there is none in time or the caller has gone. */
 export async function waitFor<Value>(
     look: () => Value | undefined,
-    patienceMilliseconds: number,
-    callerGone: AbortSignal,
+    { since, patienceMilliseconds, callerGone }: WaitLimits,
 ): Promise<Value | undefined> {
-    const end = monotonicNow() + Math.min(maximumWaitMilliseconds, patienceMilliseconds * waitShare);
+    const end = since + Math.min(maximumWaitMilliseconds, patienceMilliseconds * waitShare);
     for (;;) {
         const value = look();
         if (value !== undefined || callerGone.aborted || monotonicNow() >= end) {
--- a/src/request/gateway/gateway-handler.ts
+++ b/src/request/gateway/gateway-handler.ts
@@ -110,7 +110,11 @@
     /** A router that has just started is about to know the configuration; callers wait for it a part of their time. */
     private async waitForVersion(message: IncomingMessage, callerGone: AbortSignal): Promise<GatewayVersion> {
         const patience = Number(headerText(message, this.parts.dialect.headers.deadline) ?? 0);
-        const version = await waitFor(() => this.parts.currentVersion(), patience || 0, callerGone);
+        const version = await waitFor(() => this.parts.currentVersion(), {
+            since: monotonicNow(),
+            patienceMilliseconds: patience || 0,
+            callerGone,
+        });
         if (version === undefined) {
             throw new ConfigurationMissingError(retryAfterStartSeconds);
         }
--- a/src/request/gateway/layer-path-chooser.ts
+++ b/src/request/gateway/layer-path-chooser.ts
@@ -1,10 +1,10 @@
-/** Chooses the path of a streaming request from the registry, this router's load and what requests have shown. */
+/** Chooses the path of a streaming request from the registry, the fleet's load and what requests have shown. */
 import type { EngineProfile } from "../../domain/gateway/configuration.js";
 import type { ServerEntry } from "../../domain/gateway/server-entry.js";
 import { layerCount } from "../../domain/layers.js";
+import type { LoadEstimate } from "../../process/gateway/fleet-load.js";
 import { tokensThatFit } from "../../process/gateway/layer-placement/layer-capacity.js";
 import { findStandbyServers } from "../../process/gateway/layer-placement/standby-servers.js";
-import type { ServerLoad } from "../../process/gateway/server-load.js";
 import type { ServerRegistry } from "../../process/gateway/server-registry.js";
 import type { ServerSuspicions } from "../../process/gateway/server-suspicions.js";
 import type {
@@ -20,14 +20,12 @@
     readonly homeZone: string;
     /** A server that leaves may be used for this long after this router learnt of it, where nothing else is left. */
     readonly leavingUseMilliseconds: number;
-    /** Routers of the fleet; each takes its own load as a sample of everyone's. */
-    routerCount(): number;
 }
 
 export class LayerPathChooser {
     constructor(
         private readonly registry: ServerRegistry,
-        private readonly load: ServerLoad,
+        private readonly load: LoadEstimate,
         private readonly suspicions: ServerSuspicions,
         private readonly finder: LayerPathFinder,
         private readonly options: LayerPathChooserOptions,
@@ -124,15 +122,14 @@
         if (kind === undefined || entry.layers === undefined) {
             return [];
         }
-        const routerCount = this.options.routerCount();
         return [{
             entry,
             layers: entry.layers,
             standby,
             stepFactor: kind.stepFactor,
             readFactor: kind.readFactor,
-            requests: this.load.requests(entry.id) * routerCount,
-            tokens: this.load.tokens(entry.id) * routerCount,
+            requests: this.load.requests(entry.id),
+            tokens: this.load.tokens(entry.id),
             tokenCapacity: tokensThatFit(engine, kind, layerCount(entry.layers)),
         }];
     }
--- a/src/request/gateway/layer-path-finder.ts
+++ b/src/request/gateway/layer-path-finder.ts
@@ -5,8 +5,9 @@
  */
 import type { RandomSource } from "../../common/random.js";
 import type { EngineProfile } from "../../domain/gateway/configuration.js";
+import type { PathPart } from "../../domain/gateway/dialect.js";
 import type { ServerEntry } from "../../domain/gateway/server-entry.js";
-import type { LayerRange } from "../../domain/layers.js";
+import { formatLayerRange, type LayerRange } from "../../domain/layers.js";
 
 /** A server that may take part, with the load that is known of it. */
 export interface PathServer {
@@ -49,6 +50,21 @@
     readonly followsPart: boolean;
 }
 
+/** Times that a request on the path passes from one availability zone to another. */
+export function countZoneCrossings({ parts }: LayerPath): number {
+    return parts.filter(({ server }, index) =>
+        index > 0 && parts[index - 1]!.server.availabilityZone !== server.availabilityZone
+    ).length;
+}
+
+export function addressedParts({ parts }: LayerPath): PathPart[] {
+    return parts.map(({ server, layers }) => ({ address: server.address, layers }));
+}
+
+export function formatPath({ parts }: LayerPath): string {
+    return parts.map(({ server, layers }) => `${server.id}=${formatLayerRange(layers)}`).join(",");
+}
+
 export interface LayerPathFinder {
     find(
         servers: readonly PathServer[],
@@ -61,20 +77,35 @@
 /** One way inside a zone; the platform states delays between zones only. */
 const hopMilliseconds = 0.2;
 /**
- * A crossing between zones takes room on a link that all requests share, and its bytes are priced; it is worth about as
- * much as half of a usual answer's time, so that paths leave a zone only where its own servers are missing or crowded.
+ * A crossing between zones takes room on a link that all requests share, and its bytes are priced; it costs about as much
+ * as a path whose memory is full, so that paths leave a zone only where its own servers are missing.
+ */
+const zoneCrossingMilliseconds = 5_000;
+/**
+ * Using a server that is kept free: less than a crossing, so that a broken zone helps itself first, and more than a path
+ * whose memory is half full.
  */
-const zoneCrossingMilliseconds = 1_500;
-/** Using a server that is kept free: less than a crossing, so that a crowded or broken zone helps itself first. */
-const standbyMilliseconds = 500;
+const standbyMilliseconds = 1_600;
 /** Starting in another zone than the router's own: one way there and back, and bytes that are priced. */
 const foreignStartMilliseconds = 5;
+/**
+ * Weight of the expected time. Every path meets the targets as long as it is not full, so that an even share of memory
+ * counts more than speed: what is lost with a server then is a part of all requests, and the others have room for it.
+ */
+const timeWeight = 0.3;
+/** Cost of a path whose memory is full; it grows with the square of the filled share. Twice a usual answer's time. */
+const fullMemoryMilliseconds = 5_000;
 /** Share of a server's memory above which requests risk being preempted. */
 const memoryWatermark = 0.85;
 /** Cost of filling a server's memory from the watermark to the brim: a preempted request reads its prompt again. */
-const fullMemoryMilliseconds = 2_000;
+const preemptionMilliseconds = 2_000;
 /** Spreads requests over servers that cost the same. */
 const randomShare = 0.05;
+/**
+ * Spreads requests over zones that cost about the same: all routers know the same loads, half a second old, and would
+ * otherwise all turn to the same zone at once.
+ */
+const zoneSpread = 0.5;
 const bitsPerByte = 8;
 const bitsPerMegabit = 1e6;
 const millisecondsPerSecond = 1_000;
@@ -98,7 +129,8 @@
     ): LayerPath | undefined {
         const end = span.layers.last + 1;
         const boundaries = listBoundaries(servers, span.layers);
-        const layerCosts = servers.map(server => this.layerCost(server, engine, size));
+        const zoneFactors = this.drawZoneFactors(servers);
+        const layerCosts = servers.map((server, index) => zoneFactors[index]! * this.layerCost(server, engine, size));
         const zoneHop = zoneHopCost(engine, size);
         const foreignStart = span.followsPart ? zoneHop : foreignStartMilliseconds;
         const localHop = hopMilliseconds * size.answerTokens;
@@ -113,7 +145,7 @@
                 if (until <= at || until > server.layers.last + 1) {
                     continue;
                 }
-                const cost = (from?.cost ?? 0) + hop + (server.standby ? standbyMilliseconds : 0)
+                const cost = (from?.cost ?? 0) + hop + (server.standby ? standbyMilliseconds * zoneFactors[index]! : 0)
                     + layerCosts[index]! * (until - at);
                 const reached = states.get(until)!;
                 if (cost < (reached[index]?.cost ?? Infinity)) {
@@ -140,6 +172,16 @@
         return last === undefined ? undefined : { cost: last.cost, parts: toParts(last, servers, end) };
     }
 
+    /** The factor of each server's zone, drawn anew for each path. */
+    private drawZoneFactors(servers: readonly PathServer[]): number[] {
+        const factors = new Map<string, number>();
+        return servers.map(({ entry: { availabilityZone } }) => {
+            const factor = factors.get(availabilityZone) ?? 1 + zoneSpread * this.random.next();
+            factors.set(availabilityZone, factor);
+            return factor;
+        });
+    }
+
     /** Expected time of one layer for all tokens of the request, on one server. */
     private layerCost(server: PathServer, engine: EngineProfile, size: RequestSize): number {
         const contextThousands = server.tokens / 1_000;
@@ -151,8 +193,8 @@
         const filled = (server.tokens + size.promptTokens + size.answerTokens) / server.tokenCapacity;
         const overfull = Math.max(0, filled - memoryWatermark) / (1 - memoryWatermark);
         const expected = (generating + reading) / engine.layerCount;
-        return expected * (1 + randomShare * this.random.next())
-            + (overfull * fullMemoryMilliseconds) / engine.layerCount;
+        const memory = fullMemoryMilliseconds * filled ** 2 + preemptionMilliseconds * overfull;
+        return timeWeight * expected * (1 + randomShare * this.random.next()) + memory / engine.layerCount;
     }
 }
 
--- a/src/request/gateway/stall-watch.ts
+++ b/src/request/gateway/stall-watch.ts
@@ -20,7 +20,7 @@
 }
 
 /** A pause of so many usual gaps is long. */
-const quietGaps = 3;
+const quietGaps = 2;
 /** Weight of the newest gap in the average. */
 const gapWeight = 0.2;
 
--- a/src/request/gateway/stream-progress.ts
+++ b/src/request/gateway/stream-progress.ts
@@ -11,7 +11,7 @@
     private watch: StallWatch | undefined;
     private lastId: string | undefined;
     private firstEventAt: number | undefined;
-    private lastEventAt: number | undefined;
+    private newestEventAt: number | undefined;
     private longestPause = 0;
 
     constructor(private readonly response: CallerResponse) {}
@@ -21,6 +21,11 @@
         return this.firstEventAt;
     }
 
+    /** Monotonic time of the last event. */
+    get lastEventAt(): number | undefined {
+        return this.newestEventAt;
+    }
+
     /** Longest pause between two events so far, in milliseconds. */
     get longestPauseMilliseconds(): number {
         return this.longestPause;
@@ -57,8 +62,8 @@
     private notePause(): void {
         const now = monotonicNow();
         this.firstEventAt ??= now;
-        this.longestPause = Math.max(this.longestPause, now - (this.lastEventAt ?? now));
-        this.lastEventAt = now;
+        this.longestPause = Math.max(this.longestPause, now - (this.newestEventAt ?? now));
+        this.newestEventAt = now;
     }
 
     private waitForCaller(): void {
--- a/test/platform/gateway.test.ts
+++ b/test/platform/gateway.test.ts
@@ -185,6 +185,19 @@
         expect(resumed.headers["last-event-id"]).toBe("3");
     });
 
+    test("wait shortly where every server refuses for want of room, and go on when one has some", async () => {
+        await startWithEngines();
+        fixture.servers.forEach(server => {
+            server.behavior = "refuse";
+        });
+        setTimeout(() =>
+            fixture.servers.forEach(server => {
+                server.behavior = "answer";
+            }), 150);
+        const answer = await fixture.send("POST", "/report-text/1", { ...headers, "X-Deadline-Ms": "5000" }, "prompt");
+        expect(answer).toMatchObject({ status: 200, complete: true, body: wholeStream });
+    });
+
     test("that cannot be finished never look complete", async () => {
         await startWithEngines();
         fixture.servers.forEach(server => {
--- a/test/process/gateway/zone-layer-planner.test.ts
+++ b/test/process/gateway/zone-layer-planner.test.ts
@@ -17,6 +17,7 @@
         maximumLayers: layers + 1,
         stepFactor: 1,
         standby: false,
+        runningTokens: 0,
         ordered: false,
         range,
     };
