--- a/src/connection/gateway/http-server-control.ts
+++ b/src/connection/gateway/http-server-control.ts
@@ -28,6 +28,11 @@
         return report;
     }
 
+    async isHealthy(server: ServerEntry, healthPath: string): Promise<boolean> {
+        const { head } = await this.call(server, "GET", healthPath, undefined);
+        return head.status === 200;
+    }
+
     async placeLayers(server: ServerEntry, layers: LayerRange, ordersBegun: number): Promise<OrderOutcome> {
         return this.order(server, this.dialect.formatPlaceOrder(layers, ordersBegun));
     }
--- a/src/daemon/gateway/gateway.ts
+++ b/src/daemon/gateway/gateway.ts
@@ -114,6 +114,7 @@
                 fleetLoad.applyOthers(notice.otherLoads);
                 return fleetLoad.ownLoads;
             },
+            takeLeadership: offer => leadership.adopt(offer),
             snapshotAfter: revision => image.snapshotAfter(revision),
             logger: this.logger.withLabel("peers"),
         });
--- a/src/daemon/gateway/known-state.ts
+++ b/src/daemon/gateway/known-state.ts
@@ -1,6 +1,7 @@
 /** Composes what a gateway knows: the configuration, the registry and the fleet, all followed in the platform's store. */
 import type { Logger } from "../../common/logger.js";
 import type { RandomSource } from "../../common/random.js";
+import { HttpLeadershipHandover } from "../../connection/gateway/peer-leadership.js";
 import { HttpSnapshotSource } from "../../connection/gateway/peer-snapshots.js";
 import { formatSocketAddress } from "../../domain/gateway/server-entry.js";
 import { ConfigurationInForce } from "../../process/gateway/configuration-in-force.js";
@@ -38,21 +39,22 @@
     const leavingUseMilliseconds = settings.bounds.drainMilliseconds * leavingUseShare;
     const configuration = new ConfigurationInForce(logger.withLabel("configuration"));
     const registry = new ServerRegistry(leavingUseMilliseconds, logger.withLabel("registry"));
+    const routers = new RouterDirectory(
+        store,
+        layout.routerKeyPrefix,
+        settings.router.name,
+        settings.listen.peers,
+        logger.withLabel("routers"),
+    );
     const leadership = new PlacementLeadership(
         store,
         layout.placementLeaderKey,
         holderName(settings.router.name, random),
         settings.store.minimumLeaseMilliseconds,
+        new HttpLeadershipHandover(() => routers.others, logger.withLabel("placement")),
         random,
         logger.withLabel("placement"),
     );
-    const routers = new RouterDirectory(
-        store,
-        layout.routerKeyPrefix,
-        settings.router.name,
-        settings.listen.peers,
-        logger.withLabel("routers"),
-    );
     const storeLogger = logger.withLabel("store");
     const contents = new StoreContents(layout, configuration, registry, routers, leadership, storeLogger);
     const image = new StoreImage(contents);
--- a/src/domain/gateway/configuration.ts
+++ b/src/domain/gateway/configuration.ts
@@ -86,6 +86,8 @@
     readonly name: string;
     /** Connections that one backend server takes from all callers together. */
     readonly maximumConnections: number;
+    /** Where a backend server says whether it is well and stays; undefined if it does not say. */
+    readonly healthPath: string | undefined;
     /** Undefined for a plain service, whose backend servers each answer alone. */
     readonly engine: EngineProfile | undefined;
 }
--- a/src/domain/gateway/placement-notice.ts
+++ b/src/domain/gateway/placement-notice.ts
@@ -11,7 +11,7 @@
     readonly bornAt: number | undefined;
     /** Layers that the server itself reported to hold; undefined if it holds none or gives them up. */
     readonly layers: LayerRange | undefined;
-    /** The server answers nobody. */
+    /** The server answers nobody, or says itself that it leaves. */
     readonly lost: boolean;
 }
 
--- a/src/domain/gateway/server-control.ts
+++ b/src/domain/gateway/server-control.ts
@@ -6,6 +6,8 @@
 export interface ServerControl {
     /** Rejects with ConnectionFailedError if the engine gives no report in time. */
     readReport(server: ServerEntry): Promise<ServerReport>;
+    /** Whether the engine is well and stays. Rejects with ConnectionFailedError if it gives no answer in time. */
+    isHealthy(server: ServerEntry, healthPath: string): Promise<boolean>;
     /**
      * Orders a range of layers, provided that the engine has begun just so many orders before. Rejects with
      * ConnectionFailedError if no answer comes; the order may then still be carried out.
--- a/src/domain/gateway/server-entry.ts
+++ b/src/domain/gateway/server-entry.ts
@@ -32,14 +32,8 @@
     readonly busy: boolean;
     /** Orders that it has begun since its start. */
     readonly ordersBegun: number;
-    /** Requests whose next stage does not answer. */
-    readonly stalled: readonly StalledRequest[];
-}
-
-export interface StalledRequest {
-    readonly requestId: string;
-    /** The backend server that is waited for. */
-    readonly address: SocketAddress;
+    /** Requests that run or wait. */
+    readonly requests: number;
 }
 
 export const OrderOutcome = {
--- a/src/process/gateway/layer-placement/engine-view.ts
+++ b/src/process/gateway/layer-placement/engine-view.ts
@@ -6,6 +6,8 @@
 
 /** Reports in a row that must fail before an engine is taken as lost: one may be lost on the way. */
 const failuresUntilLost = 2;
+/** Health checks in a row that must fail before an engine is taken as leaving: one may meet a full queue. */
+const checksUntilLeaving = 2;
 /** Pause between reports of an engine that is suspected or was found lost. */
 const suspectReportMilliseconds = 500;
 /** An engine that carries out an order is asked this often once its load should be over. */
@@ -26,6 +28,7 @@
     private held: LayerRange | undefined;
     private order: Order | undefined;
     private failures = 0;
+    private unhealthyChecks = 0;
     private asking = false;
     private askAgainAt = 0;
     private pausedUntil = 0;
@@ -54,8 +57,18 @@
         return this.failures >= failuresUntilLost;
     }
 
+    /** It answers, refuses requests, and says itself that it is not well or leaves; the registry may not say so yet. */
+    get leaving(): boolean {
+        return this.unhealthyChecks >= checksUntilLeaving;
+    }
+
+    /** Whether it may hold layers and take requests. */
+    get usable(): boolean {
+        return !this.lost && !this.leaving;
+    }
+
     get differsFromRegistry(): boolean {
-        return this.lost || !sameRange(this.held, this.server.layers);
+        return !this.usable || !sameRange(this.held, this.server.layers);
     }
 
     /** Takes the registry's entry; its layers count where they have changed. */
@@ -72,7 +85,7 @@
             return false;
         }
         const overdue = this.order !== undefined && now > this.order.sentAt + this.order.loadMilliseconds;
-        return suspected || this.failures > 0 || overdue;
+        return suspected || this.failures > 0 || this.unhealthyChecks > 0 || overdue;
     }
 
     reportAsked(): void {
@@ -93,6 +106,17 @@
         this.giveUpOverdueOrder(report.busy);
     }
 
+    applyHealth(healthy: boolean): void {
+        const leftBefore = this.leaving;
+        this.unhealthyChecks = healthy ? 0 : this.unhealthyChecks + 1;
+        if (this.leaving !== leftBefore) {
+            this.logger.warn("engine says that it leaves, or stays after all", {
+                server: this.server.id,
+                leaving: this.leaving,
+            });
+        }
+    }
+
     reportFailed(reason: string): void {
         this.asking = false;
         this.failures++;
--- a/src/process/gateway/layer-placement/placement-leadership.ts
+++ b/src/process/gateway/layer-placement/placement-leadership.ts
@@ -8,6 +8,7 @@
 import type { Managed } from "../../../common/life-cycle.js";
 import type { Logger } from "../../../common/logger.js";
 import type { RandomSource } from "../../../common/random.js";
+import type { LeadershipHandover, LeadershipOffer } from "../../../domain/gateway/leadership-offer.js";
 import type { MetadataStore } from "../../../domain/gateway/metadata-store.js";
 import { LeaseLostError, PlatformUnavailableError } from "../../../errors/index.js";
 import type { LeaderKeyObserver } from "../store-contents.js";
@@ -16,6 +17,8 @@
 const leaseMilliseconds = 3_000;
 /** Two renewals may fail before the lease ends. */
 const renewalsPerLease = 3;
+/** After so many renewals without an answer the store is taken as away. */
+const missedRenewals = 1.5;
 /** Goes beyond the longest outage of the store that the users describe as common, 9 s. */
 const caretakerMilliseconds = 12_000;
 /** A difference between the clocks that tells of a suspension, or of a step of the wall clock. */
@@ -25,6 +28,8 @@
 
 interface HeldLease {
     readonly id: number;
+    /** Name in the key that is bound to the lease. */
+    readonly holder: string;
     /** Monotonic time at which the last successful renewal was sent. */
     renewedAt: number;
     renewedAtWallClock: number;
@@ -38,6 +43,8 @@
     private lease: HeldLease | undefined;
     private attempt: Promise<void> | undefined;
     private vacant = false;
+    /** Names under which the key may say that this router leads: its own, and those of routers that handed over to it. */
+    private readonly holders: Set<string>;
 
     constructor(
         private readonly store: MetadataStore,
@@ -45,9 +52,11 @@
         /** Names this start of this router. */
         private readonly holder: string,
         minimumLeaseMilliseconds: number,
+        private readonly handover: LeadershipHandover,
         private readonly random: RandomSource,
         private readonly logger: Logger,
     ) {
+        this.holders = new Set([holder]);
         this.timeToLive = Math.max(leaseMilliseconds, minimumLeaseMilliseconds);
     }
 
@@ -58,21 +67,47 @@
 
     async start(): Promise<void> {}
 
-    /** Gives the lease up, so that another router leads at once. */
+    /** Gives the lease up, or hands it over while the store is away, so that another router leads at once. */
     async stop(): Promise<void> {
         this.stopping.abort();
         const held = this.lease;
+        const led = this.leads;
         this.lease = undefined;
-        if (held !== undefined) {
+        if (held === undefined) {
+            return;
+        }
+        const renewedMillisecondsAgo = monotonicNow() - held.renewedAt;
+        const storeAnswers = renewedMillisecondsAgo < (this.timeToLive / renewalsPerLease) * missedRenewals;
+        const handedOver = led && !storeAnswers
+            && await this.handover.offer({ leaseId: held.id, holder: held.holder, renewedMillisecondsAgo });
+        if (!handedOver) {
             await this.store.endLease(held.id).catch((error: unknown) =>
                 this.logger.warn("could not end the placement lease; it lapses", { error: String(error) })
             );
         }
     }
 
+    /** Takes over from a leader that stops while the store is away. Whether this router now leads. */
+    adopt({ leaseId, holder, renewedMillisecondsAgo }: LeadershipOffer): boolean {
+        if (this.stopping.signal.aborted || this.lease !== undefined) {
+            return false;
+        }
+        const lease: HeldLease = {
+            id: leaseId,
+            holder,
+            renewedAt: monotonicNow() - renewedMillisecondsAgo,
+            renewedAtWallClock: Date.now() - renewedMillisecondsAgo,
+            confirmed: false,
+        };
+        this.holders.add(holder);
+        this.lease = lease;
+        this.confirm(lease);
+        return true;
+    }
+
     leaderKeyChanged(value: Buffer | undefined): void {
         this.vacant = value === undefined;
-        const ours = value?.toString("utf8") === this.holder;
+        const ours = value !== undefined && this.holders.has(value.toString("utf8"));
         if (ours && this.lease !== undefined && !this.lease.confirmed) {
             this.confirm(this.lease);
         }
@@ -114,7 +149,13 @@
         const sentAt = monotonicNow();
         const sentAtWallClock = Date.now();
         const id = await this.store.grantLease(this.timeToLive);
-        const lease = { id, renewedAt: sentAt, renewedAtWallClock: sentAtWallClock, confirmed: false };
+        const lease: HeldLease = {
+            id,
+            holder: this.holder,
+            renewedAt: sentAt,
+            renewedAtWallClock: sentAtWallClock,
+            confirmed: false,
+        };
         this.lease = lease;
         const committed = await this.store.commit({
             conditions: [{ key: this.key, revision: 0 }],
--- a/src/process/gateway/layer-placement/placement-loop.ts
+++ b/src/process/gateway/layer-placement/placement-loop.ts
@@ -6,7 +6,7 @@
 import { monotonicNow } from "../../../common/clock.js";
 import type { Managed } from "../../../common/life-cycle.js";
 import type { Logger } from "../../../common/logger.js";
-import type { EngineProfile } from "../../../domain/gateway/configuration.js";
+import type { EngineProfile, GatewayService } from "../../../domain/gateway/configuration.js";
 import type { NoticeSender, ServerNotice } from "../../../domain/gateway/placement-notice.js";
 import type { ServerControl } from "../../../domain/gateway/server-control.js";
 import { formatSocketAddress, OrderOutcome, type ServerEntry } from "../../../domain/gateway/server-entry.js";
@@ -85,7 +85,7 @@
         const present = new Set<string>();
         for (const service of this.parts.configuration.current?.services.values() ?? []) {
             if (service.engine !== undefined) {
-                this.reviewService(service.name, service.engine).forEach(id => present.add(id));
+                this.reviewService(service, service.engine).forEach(id => present.add(id));
             }
         }
         [...this.views.keys()].filter(id => !present.has(id)).forEach(id => this.views.delete(id));
@@ -95,17 +95,17 @@
     }
 
     /** IDs of the service's servers. */
-    private reviewService(service: string, engine: EngineProfile): string[] {
-        const servers = this.parts.registry.registered(service);
+    private reviewService(service: GatewayService, engine: EngineProfile): string[] {
+        const servers = this.parts.registry.registered(service.name);
         const views = servers.map(server => this.viewOf(server));
         views.filter(view => view.needsReport(this.parts.suspicions.isSuspected(view.server.id))).forEach(view =>
-            void this.askForReport(view)
+            void this.askForReport(view, engine, service.healthPath)
         );
         const nothingHeld = views.every(view => view.range === undefined);
         const settled = this.parts.registry.settled
             && (!nothingHeld || monotonicNow() - this.lastChangeAt >= settleMilliseconds);
         if (settled) {
-            this.planService(views.filter(view => !view.lost), engine);
+            this.planService(views.filter(view => view.usable), engine);
         }
         return servers.map(({ id }) => id);
     }
@@ -131,17 +131,22 @@
         return view;
     }
 
-    private async askForReport(view: EngineView): Promise<void> {
+    private async askForReport(view: EngineView, engine: EngineProfile, healthPath: string | undefined): Promise<void> {
         view.reportAsked();
-        const lostBefore = view.lost;
+        const usableBefore = view.usable;
         const rangeBefore = view.holds;
         try {
-            view.applyReport(await this.parts.control.readReport(view.server));
+            const report = await this.parts.control.readReport(view.server);
+            // A full engine may refuse the health check like any other request.
+            if (healthPath !== undefined && report.requests < engine.slots) {
+                view.applyHealth(await this.parts.control.isHealthy(view.server, healthPath));
+            }
+            view.applyReport(report);
         }
         catch (error) {
             view.reportFailed(String(error));
         }
-        if (view.lost !== lostBefore || view.holds !== rangeBefore) {
+        if (view.usable !== usableBefore || view.holds !== rangeBefore) {
             this.sendNotice();
         }
     }
@@ -194,7 +199,12 @@
     private sendNotice(): void {
         const servers: ServerNotice[] = [...this.views.values()]
             .filter(view => view.differsFromRegistry)
-            .map(({ server, holds, lost }) => ({ id: server.id, bornAt: server.bornAt, layers: holds, lost }));
+            .map(({ server, holds, usable }) => ({
+                id: server.id,
+                bornAt: server.bornAt,
+                layers: holds,
+                lost: !usable,
+            }));
         const { registry, fleetLoad, notices, routerName: sender } = this.parts;
         registry.applyNotice(servers);
         notices.send(
--- a/src/process/gateway/server-suspicions.ts
+++ b/src/process/gateway/server-suspicions.ts
@@ -9,13 +9,15 @@
 const firstPauseMilliseconds = 1_000;
 const maximumPauseMilliseconds = 8_000;
 /** A server that refuses for want of room has some again when some of its requests end. */
-const refusalPauseMilliseconds = 300;
+const firstRefusalPauseMilliseconds = 300;
 /** A failure this long after the last pause counts as the first. */
 const forgetMilliseconds = 10_000;
 
 interface Suspicion {
     readonly until: number;
     readonly failures: number;
+    /** Refusals since the last success, but for those that came during a pause. */
+    readonly refusals: number;
 }
 
 export class ServerSuspicions {
@@ -35,22 +37,29 @@
         }
         const failures = before !== undefined && now - before.until < forgetMilliseconds ? before.failures + 1 : 1;
         const pause = Math.min(maximumPauseMilliseconds, firstPauseMilliseconds * 2 ** (failures - 1));
-        this.suspicions.set(serverId, { until: now + pause, failures });
+        this.suspicions.set(serverId, { until: now + pause, failures, refusals: before?.refusals ?? 0 });
         this.logger.warn("backend server is passed over", { server: serverId, reason, failures, milliseconds: pause });
     }
 
-    /** The server refused a request for want of room, which says nothing about the next ones a little later. */
+    /**
+     * The server refused a request. One that is full serves others meanwhile, whose success clears its refusals; one that
+     * leaves unnoticed serves none, and is passed over for longer each time.
+     */
     noteRefusal(serverId: string, reason: string): void {
+        const now = monotonicNow();
         const before = this.suspicions.get(serverId);
-        const until = monotonicNow() + refusalPauseMilliseconds;
-        if (before === undefined || before.until < until) {
-            this.suspicions.set(serverId, { until, failures: before?.failures ?? 0 });
-            this.logger.info("backend server has no room", {
-                server: serverId,
-                reason,
-                milliseconds: refusalPauseMilliseconds,
-            });
+        if (before !== undefined && before.until > now) {
+            return;
         }
+        const refusals = (before?.refusals ?? 0) + 1;
+        const pause = Math.min(maximumPauseMilliseconds, firstRefusalPauseMilliseconds * 2 ** (refusals - 1));
+        this.suspicions.set(serverId, { until: now + pause, failures: before?.failures ?? 0, refusals });
+        this.logger.info("backend server refuses requests", {
+            server: serverId,
+            reason,
+            refusals,
+            milliseconds: pause,
+        });
     }
 
     noteSuccess(serverId: string): void {
--- a/test/platform/gateway-fixture.ts
+++ b/test/platform/gateway-fixture.ts
@@ -13,7 +13,9 @@
 } from "../../platform/keys.js";
 import { StoreClient } from "../../platform/store-client.js";
 import { SilentLogger } from "../../src/common/logger.js";
+import { encodeNotice, noticePath } from "../../src/connection/gateway/peer-notices.js";
 import { Gateway } from "../../src/daemon/gateway/gateway.js";
+import type { PlacementNotice } from "../../src/domain/gateway/placement-notice.js";
 import type { SocketAddress } from "../../src/domain/gateway/server-entry.js";
 import type { StandInBackendServer } from "./stand-ins/backend-server.js";
 import { StandInStore } from "./stand-ins/store.js";
@@ -154,6 +156,12 @@
         }, body);
     }
 
+    /** Sends a placement notice, as the router that leads placement does. */
+    notify(servers: PlacementNotice["servers"]): Promise<Answer> {
+        const body = encodeNotice({ sender: "leader", servers, otherLoads: new Map() }).toString();
+        return call(this.gateways[0]!.peerAddress.port, "POST", noticePath, {}, body);
+    }
+
     /** Sends a request and closes its connection after the time, without an answer. */
     sendAndLeave(method: string, path: string, milliseconds: number): Promise<void> {
         const headers = {
--- a/test/platform/gateway.test.ts
+++ b/test/platform/gateway.test.ts
@@ -198,6 +198,25 @@
         expect(answer).toMatchObject({ status: 200, complete: true, body: wholeStream });
     });
 
+    test("leave a part that a server gives up at the leader's word, and keep the others", async () => {
+        await startWithEngines();
+        fixture.servers.forEach(server => {
+            server.eventMilliseconds = 60;
+        });
+        const answer = fixture.send("POST", "/report-text/1", { ...headers, "X-Deadline-Ms": "5000" }, "prompt");
+        await fixture.until(() => fixture.servers.some(({ received }) => received.length > 0));
+        const first = fixture.servers.find(({ received }) => received.length > 0)!;
+        const path = first.received[0]!.headers["x-hop-count"] as string;
+        const second = fixture.servers.find(({ layers, address }) => layers!.from === 10 && path.includes(address))!;
+        await new Promise(resolve => setTimeout(resolve, 150));
+        expect(await fixture.notify([{ id: second.id, bornAt: 1, layers: undefined, lost: false }]))
+            .toMatchObject({ status: 200 });
+        expect(await answer).toMatchObject({ status: 200, complete: true, body: wholeStream });
+        expect(first.orders).toHaveLength(1);
+        expect(first.orders[0]).toMatchObject({ op: "repath", id: "attempt-1" });
+        expect(first.orders[0]!["path"]).not.toContain(second.address);
+    });
+
     test("that cannot be finished never look complete", async () => {
         await startWithEngines();
         fixture.servers.forEach(server => {
@@ -235,6 +254,25 @@
 });
 
 describe("placement", () => {
+    test("layers of an engine that leaves while the store is away go to another engine", async () => {
+        const spare = new StandInBackendServer("spare", "pool");
+        fixture = await GatewayFixture.start([...engines(), spare], 1);
+        await fixture.until(() => spare.orders.length > 0);
+        await fixture.until(() => fixture.ready());
+        fixture.store.down = true;
+        await new Promise(resolve => setTimeout(resolve, 300));
+        const leaver = fixture.servers[1]!;
+        leaver.leaving = true;
+        await fixture.until(async () => {
+            const answer = await fixture.send("POST", "/report-text/1", { "X-Token-Counts": "700,150" }, "prompt");
+            return answer.status === 200;
+        });
+        const paths = fixture.servers.filter(server => server !== leaver)
+            .map(({ received }) => received.at(-1)?.headers["x-hop-count"] as string | undefined);
+        expect(paths.some(path => path !== undefined && path.endsWith("-20") && !path.includes(leaver.address)))
+            .toBe(true);
+    });
+
     test("engines that hold nothing are ordered to hold every layer, and then the router is ready", async () => {
         const servers = ["a", "b"].map(id => new StandInBackendServer(id, "pool"));
         fixture = await GatewayFixture.start(servers, 1);
--- a/test/process/gateway/placement-leadership.test.ts
+++ b/test/process/gateway/placement-leadership.test.ts
@@ -1,6 +1,7 @@
 import { beforeEach, describe, expect, jest, test } from "@jest/globals";
 import { SilentLogger } from "../../../src/common/logger.js";
 import { SeededRandom } from "../../../src/common/random.js";
+import type { LeadershipOffer } from "../../../src/domain/gateway/leadership-offer.js";
 import type { ConditionalWrite, MetadataStore } from "../../../src/domain/gateway/metadata-store.js";
 import { LeaseLostError, PlatformUnavailableError } from "../../../src/errors/index.js";
 import { PlacementLeadership } from "../../../src/process/gateway/layer-placement/placement-leadership.js";
@@ -50,14 +51,24 @@
 
 let store: LeaseStore;
 let leadership: PlacementLeadership;
+let offers: LeadershipOffer[];
+let takesOffers: boolean;
 
 beforeEach(() => {
+    offers = [];
+    takesOffers = true;
     store = new LeaseStore();
     leadership = new PlacementLeadership(
         store as unknown as MetadataStore,
         "leader",
         "me",
         1_000,
+        {
+            offer: async offer => {
+                offers.push(offer);
+                return takesOffers;
+            },
+        },
         new SeededRandom(1),
         new SilentLogger(),
     );
@@ -115,5 +126,41 @@
         await leadership.stop();
         expect(leadership.leads).toBe(false);
         expect(store.holder).toBeUndefined();
+        expect(offers).toEqual([]);
+    });
+
+    test("hands the lease over when it stops while the store is away", async () => {
+        leadership.leaderKeyChanged(undefined);
+        await jest.advanceTimersByTimeAsync(600);
+        store.down = true;
+        await jest.advanceTimersByTimeAsync(4_000);
+        await leadership.stop();
+        expect(leadership.leads).toBe(false);
+        expect(offers).toMatchObject([{ leaseId: 1, holder: "me" }]);
+        expect(offers[0]!.renewedMillisecondsAgo).toBeGreaterThan(3_000);
+        expect(store.holder).toBe("me");
+    });
+
+    test("takes a lease over, keeps it under the old name, and leads no longer than the old leader might have", async () => {
+        store.down = true;
+        expect(leadership.adopt({ leaseId: 7, holder: "old", renewedMillisecondsAgo: 6_000 })).toBe(true);
+        expect(leadership.leads).toBe(true);
+        expect(leadership.adopt({ leaseId: 8, holder: "third", renewedMillisecondsAgo: 0 })).toBe(false);
+        leadership.leaderKeyChanged(Buffer.from("old"));
+        expect(leadership.leads).toBe(true);
+        await jest.advanceTimersByTimeAsync(9_500);
+        expect(leadership.leads).toBe(false);
+    });
+
+    test("a lease that was taken over ends with the store's word", async () => {
+        store.lostLeases.add(7);
+        leadership.adopt({ leaseId: 7, holder: "old", renewedMillisecondsAgo: 2_000 });
+        await jest.advanceTimersByTimeAsync(1_100);
+        expect(leadership.leads).toBe(false);
+    });
+
+    test("takes nothing over once it stops", async () => {
+        await leadership.stop();
+        expect(leadership.adopt({ leaseId: 7, holder: "old", renewedMillisecondsAgo: 0 })).toBe(false);
     });
 });
