--- /dev/null
+++ b/test/process/gateway/placement-loop.test.ts
@@ -0,0 +1,159 @@
+import { afterEach, beforeEach, describe, expect, jest, test } from "@jest/globals";
+import { SilentLogger } from "../../../src/common/logger.js";
+import type { PlacementNotice, ServerNotice } from "../../../src/domain/gateway/placement-notice.js";
+import type { ServerControl } from "../../../src/domain/gateway/server-control.js";
+import { OrderOutcome, type ServerEntry } from "../../../src/domain/gateway/server-entry.js";
+import type { LayerRange } from "../../../src/domain/layers.js";
+import { ConnectionFailedError, ConnectionFailure } from "../../../src/errors/index.js";
+import { ConfigurationInForce } from "../../../src/process/gateway/configuration-in-force.js";
+import { FleetLoad } from "../../../src/process/gateway/fleet-load.js";
+import { PlacementLoop } from "../../../src/process/gateway/layer-placement/placement-loop.js";
+import { ZoneLayerPlanner } from "../../../src/process/gateway/layer-placement/zone-layer-planner.js";
+import { ServerLoad } from "../../../src/process/gateway/server-load.js";
+import { ServerRegistry } from "../../../src/process/gateway/server-registry.js";
+import { ServerSuspicions } from "../../../src/process/gateway/server-suspicions.js";
+import { engineProfile, gatewayConfiguration, serverEntry } from "./fixtures.js";
+
+interface Engine {
+    layers: LayerRange | undefined;
+    ordersBegun: number;
+    requests: number;
+    healthy: boolean;
+    dead: boolean;
+}
+
+/** Engines that carry orders out at once. */
+class FakeEngines implements ServerControl {
+    readonly engines = new Map<string, Engine>();
+    readonly healthChecks: string[] = [];
+
+    async readReport({ id }: ServerEntry) {
+        const { layers, ordersBegun, requests } = this.engine(id);
+        return { bornAt: 1, layers, busy: false, ordersBegun, requests };
+    }
+
+    async isHealthy({ id }: ServerEntry): Promise<boolean> {
+        this.healthChecks.push(id);
+        return this.engine(id).healthy;
+    }
+
+    async placeLayers({ id }: ServerEntry, layers: LayerRange): Promise<OrderOutcome> {
+        const engine = this.engine(id);
+        engine.layers = layers;
+        engine.ordersBegun++;
+        return OrderOutcome.begun;
+    }
+
+    changePath(): Promise<OrderOutcome> {
+        return Promise.resolve(OrderOutcome.refused);
+    }
+
+    private engine(id: string): Engine {
+        const engine = this.engines.get(id)!;
+        if (engine.dead) {
+            throw new ConnectionFailedError(id, ConnectionFailure.silent, false);
+        }
+        return engine;
+    }
+}
+
+let control: FakeEngines;
+let registry: ServerRegistry;
+let suspicions: ServerSuspicions;
+let loop: PlacementLoop;
+let notices: PlacementNotice[];
+
+function addEngine(id: string, layers: LayerRange | undefined): Engine {
+    const engine = { layers, ordersBegun: 0, requests: 1, healthy: true, dead: false };
+    control.engines.set(id, engine);
+    return engine;
+}
+
+const noticeOf = (id: string): ServerNotice | undefined => notices.at(-1)?.servers.find(server => server.id === id);
+const covered = (ids: readonly string[]) =>
+    Array.from({ length: 20 }, (_value, layer) => layer).every(layer =>
+        ids.some(id => {
+            const layers = control.engines.get(id)!.layers;
+            return layers !== undefined && layers.first <= layer && layer <= layers.last;
+        })
+    );
+
+beforeEach(async () => {
+    control = new FakeEngines();
+    notices = [];
+    const logger = new SilentLogger();
+    registry = new ServerRegistry(1_000, logger);
+    suspicions = new ServerSuspicions(logger);
+    const configuration = new ConfigurationInForce(logger);
+    configuration.offer(
+        gatewayConfiguration(1, {
+            services: new Map([["pool", {
+                name: "pool",
+                maximumConnections: 100,
+                healthPath: "/health",
+                engine: engineProfile,
+            }]]),
+        }),
+        "test",
+    );
+    addEngine("a", { first: 0, last: 9 });
+    addEngine("b", { first: 10, last: 19 });
+    addEngine("c", undefined);
+    const entries = new Map(["a", "b", "c"].map(id => {
+        const entry = serverEntry(id, { kind: "large", layers: control.engines.get(id)!.layers });
+        return [id, { entry, revision: 1 }] as const;
+    }));
+    registry.replaceAll({ entries, revision: 1, afterOutage: false });
+    loop = new PlacementLoop({
+        registry,
+        configuration,
+        leadership: { leads: true },
+        suspicions,
+        planner: new ZoneLayerPlanner(),
+        control,
+        notices: { send: noticeFor => notices.push(noticeFor({ host: "127.0.0.1", port: 1 })) },
+        fleetLoad: new FleetLoad(new ServerLoad(), () => 1),
+        routerName: "router",
+        logger,
+    });
+    await loop.start();
+    await jest.advanceTimersByTimeAsync(4_000);
+});
+
+afterEach(() => loop.stop());
+
+describe("PlacementLoop", () => {
+    test("an engine that holds nothing doubles the layers of others", () => {
+        expect(control.engines.get("c")!.layers).toBeDefined();
+    });
+
+    test("a lost engine's layers are given to others, and routers are told", async () => {
+        control.engines.get("a")!.dead = true;
+        suspicions.noteFailure("a", "takes no connection");
+        await jest.advanceTimersByTimeAsync(6_000);
+        expect(noticeOf("a")).toMatchObject({ lost: true });
+        expect(covered(["b", "c"])).toBe(true);
+    });
+
+    test("an engine that refuses and says that it leaves is not counted on; one that stays is taken back", async () => {
+        const engine = control.engines.get("a")!;
+        engine.healthy = false;
+        suspicions.noteRefusal("a", "status 503");
+        await jest.advanceTimersByTimeAsync(3_000);
+        expect(noticeOf("a")).toMatchObject({ lost: true });
+        expect(covered(["b", "c"])).toBe(true);
+        engine.healthy = true;
+        await jest.advanceTimersByTimeAsync(2_000);
+        expect(noticeOf("a")?.lost ?? false).toBe(false);
+    });
+
+    test("a full engine is not asked whether it is well", async () => {
+        const engine = control.engines.get("a")!;
+        engine.requests = engineProfile.slots;
+        engine.healthy = false;
+        suspicions.noteRefusal("a", "status 503");
+        await jest.advanceTimersByTimeAsync(3_000);
+        expect(control.healthChecks).not.toContain("a");
+        expect(noticeOf("a")?.lost ?? false).toBe(false);
+    });
+});
