Give a stream up only where another send is allowed, and learn from first events that never came

Under load first events took 400 ms; runs were given up after 275 ms, and since only events that came were noted, the limit never rose; and a run was given up although the allowance for further sends was used up, which made a failure of a live run. Change: a run that is given up before its first event notes the time that it waited; a run is given up only if another send is allowed.

--- a/src/process/gateway/retry-allowance.ts
+++ b/src/process/gateway/retry-allowance.ts
@@ -31,15 +31,19 @@
         this.window(service).requests.push(monotonicNow());
     }
 
-    /** Whether another send for the service is allowed; if so, it is counted. */
-    take(service: string): boolean {
+    /** Whether another send for the service is allowed now. */
+    allows(service: string): boolean {
         const window = this.window(service);
         const extra = this.options.extra / Math.max(1, this.options.routerCount());
-        const allowed = safetyShare * (this.options.ratio * window.requests.length + extra);
-        if (window.retries.length + 1 > allowed) {
+        return window.retries.length + 1 <= safetyShare * (this.options.ratio * window.requests.length + extra);
+    }
+
+    /** Whether another send for the service is allowed; if so, it is counted. */
+    take(service: string): boolean {
+        if (!this.allows(service)) {
             return false;
         }
-        window.retries.push(monotonicNow());
+        this.window(service).retries.push(monotonicNow());
         return true;
     }
 
--- a/src/request/gateway/stream-run.ts
+++ b/src/request/gateway/stream-run.ts
@@ -124,6 +124,7 @@
         request.callerGone.addEventListener("abort", callerGone);
         try {
             const result = await attempt.result;
+            this.noteFirstEvent(sentAt, result);
             return { result, path: supervisor.path };
         }
         finally {
@@ -131,9 +132,16 @@
             supervisor.stop();
             request.callerGone.removeEventListener("abort", callerGone);
             endLoad();
-            if (progress.begunAt !== undefined && progress.begunAt > sentAt) {
-                parts.firstEvents.note(request.service, progress.begunAt - sentAt);
-            }
+        }
+    }
+
+    /** An attempt that was given up before its first event says that first events take at least as long. */
+    private noteFirstEvent(sentAt: number, result: AttemptResult): void {
+        const { progress, parts, request } = this;
+        const waited = result.end === AttemptEnd.stalled && result.unreachable?.length === 0;
+        const at = progress.begunAt ?? (waited ? monotonicNow() : undefined);
+        if (at !== undefined && at > sentAt) {
+            parts.firstEvents.note(request.service, at - sentAt);
         }
     }
 
@@ -147,7 +155,7 @@
             size,
             progress,
             limits: stallLimits(route, parts.firstEvents.upperBound(service)),
-            mayRepeat: () => route.resumable && this.runs + 1 < route.maximumAttempts,
+            mayRepeat: () => route.resumable && this.runs + 1 < route.maximumAttempts && parts.retries.allows(service),
             choosePath: avoided => parts.paths.choose(service, engine, size, new Set([...this.avoided, ...avoided])),
             chooseReplacement: (current, lost) => parts.paths.chooseReplacement(service, engine, size, current, lost),
         });
--- a/test/process/gateway/first-event-times.test.ts
+++ b/test/process/gateway/first-event-times.test.ts
@@ -16,3 +16,14 @@
     expect(times.upperBound("pool")!).toBeGreaterThan(600);
     expect(times.upperBound("other")).toBeUndefined();
 });
+
+test("a few streams that are given up after the least limit raise the bound above it", () => {
+    const times = new FirstEventTimes();
+    for (let count = 0; count < 60; count++) {
+        times.note("pool", 55);
+    }
+    for (let count = 0; count < 4; count++) {
+        times.note("pool", 275);
+    }
+    expect(times.upperBound("pool")!).toBeGreaterThan(275);
+});
--- a/test/process/gateway/retry-allowance.test.ts
+++ b/test/process/gateway/retry-allowance.test.ts
@@ -38,3 +38,10 @@
         { seed: 20261204, numRuns: 50 },
     );
 });
+
+test("asking whether a send is allowed uses nothing up", () => {
+    const allowance = new RetryAllowance({ ...options, ratio: 0, extra: 2.5, routerCount: () => 1 });
+    expect([allowance.allows("pool"), allowance.allows("pool"), allowance.allows("pool")]).toEqual([true, true, true]);
+    expect([allowance.take("pool"), allowance.take("pool"), allowance.take("pool")]).toEqual([true, true, false]);
+    expect(allowance.allows("pool")).toBe(false);
+});
