Take only the leader's word as evidence that layers were given up; show each server event once in explain-request

Change: only a notice that is still valid counts. explain-request keeps the first of lines that all routers write alike.

--- a/src/cli/request-log.ts
+++ b/src/cli/request-log.ts
@@ -30,7 +30,18 @@
         const server = line.fields["server"];
         return typeof server === "string" && servers.has(server) && timeOf(line) >= from && timeOf(line) <= until;
     });
-    return [...own, ...others].sort((left, right) => timeOf(left) - timeOf(right));
+    return [...own, ...firstOfEach(others)].sort((left, right) => timeOf(left) - timeOf(right));
+}
+
+/** Every router logs what it learns of a server; the first of lines that say the same is enough. */
+function firstOfEach(lines: readonly LogLine[]): LogLine[] {
+    const seen = new Set<string>();
+    return [...lines].sort((left, right) => timeOf(left) - timeOf(right)).filter(({ fields }) => {
+        const content = JSON.stringify({ ...fields, time: undefined });
+        const isNew = !seen.has(content);
+        seen.add(content);
+        return isNew;
+    });
 }
 
 function serverIds(chosen: unknown): string[] {
--- a/src/process/gateway/server-registry.ts
+++ b/src/process/gateway/server-registry.ts
@@ -180,14 +180,17 @@
         [...this.noticeListeners].forEach(listener => listener());
     }
 
-    /** Whether a server that was chosen for the layers no longer computes them, though it does not leave. */
+    /**
+     * Whether the leader says that a server which was chosen for the layers no longer computes them. The registry's own
+     * entry is no evidence: it may be older than the leader's word by which the server was chosen.
+     */
     hasGivenUp(server: ServerEntry, layers: LayerRange): boolean {
-        const registration = this.registrations.get(server.id);
-        if (registration === undefined || registration.leavingSince !== undefined) {
+        const retained = this.notices.get(server.id);
+        if (retained === undefined || retained.expiresAt < monotonicNow()) {
             return false;
         }
-        const [current] = this.correct(registration);
-        return current === undefined || current.bornAt !== server.bornAt || !covers(current.layers, layers);
+        const { notice } = retained;
+        return notice.lost || notice.bornAt !== server.bornAt || !covers(notice.layers, layers);
     }
 
     private present(service: string): Registration[] {
--- a/test/cli/commands/explain-request.test.ts
+++ b/test/cli/commands/explain-request.test.ts
@@ -23,6 +23,8 @@
             line(2, { kind: "stream-attempt", requestId: "r1", chosen: "a=0-9,b=10-19", reason: "connection broken" }),
             line(2, { kind: "stream-attempt", requestId: "r2", chosen: "c=0-19" }),
             line(3, { message: "engine is lost", server: "b" }),
+            // Another router learns the same a little later.
+            line(4, { message: "engine is lost", server: "b" }),
             line(3, { message: "engine is lost", server: "c" }),
             line(30, { message: "engine is lost", server: "a" }),
             "not a log line",
--- a/test/process/gateway/server-registry.test.ts
+++ b/test/process/gateway/server-registry.test.ts
@@ -85,6 +85,24 @@
         expect(activeIds()).toEqual(["a", "b"]);
     });
 
+    test("only a notice shows that layers are given up, never an entry that may be older than it", () => {
+        const layers = { first: 0, last: 9 };
+        const chosen = serverEntry("a", { layers });
+        registry.put(serverEntry("a"), 1);
+        registry.applyNotice([{ id: "a", bornAt: 1, layers, lost: false }]);
+        expect(registry.hasGivenUp(chosen, layers)).toBe(false);
+        registry.put(serverEntry("a", { slots: 11 }), 2);
+        registry.applyNotice([]);
+        expect(registry.hasGivenUp(chosen, layers)).toBe(false);
+        registry.applyNotice([{ id: "a", bornAt: 1, layers: { first: 0, last: 4 }, lost: false }]);
+        expect(registry.hasGivenUp(chosen, layers)).toBe(true);
+        expect(registry.hasGivenUp(chosen, { first: 0, last: 4 })).toBe(false);
+        registry.applyNotice([{ id: "a", bornAt: 1, layers, lost: true }]);
+        expect(registry.hasGivenUp(chosen, layers)).toBe(true);
+        jest.advanceTimersByTime(3_001);
+        expect(registry.hasGivenUp(chosen, layers)).toBe(false);
+    });
+
     test("newer news of the registry ends a notice", () => {
         registry.put(serverEntry("a"), 1);
         registry.applyNotice([{ id: "a", bornAt: 1, layers: undefined, lost: true }]);
