--- a/src/daemon/gateway/gateway.ts
+++ b/src/daemon/gateway/gateway.ts
@@ -6,6 +6,7 @@
 import { SystemRandom } from "../../common/random.js";
 import { createPeerServer } from "../../connection/gateway/peer-server.js";
 import type { GatewayConfiguration } from "../../domain/gateway/configuration.js";
+import { EventLoopMonitor } from "../../process/gateway/event-loop-monitor.js";
 import type { GatewaySettings } from "../../process/gateway/settings.js";
 import { createMetricsServer, PrometheusMetrics } from "../../process/metrics/prometheus-metrics.js";
 import { GatewayConfigurationIndex } from "../../version/gateway/gateway-configuration-index.js";
@@ -132,6 +133,7 @@
             snapshotAfter: revision => storeCache.snapshotAfter(revision),
             logger: this.logger.withLabel("peers"),
         });
+        this.lifeCycle.add(new EventLoopMonitor(metrics, this.logger.withLabel("event-loop")));
         this.lifeCycle.add(createManagedListener("caller listener", this.callers, listen.callers));
         this.lifeCycle.add(createManagedListener("readiness listener", readiness, listen.readiness));
         this.lifeCycle.add(createManagedListener("peer listener", peers, listen.peers));
--- a/src/request/gateway/gateway-handler.ts
+++ b/src/request/gateway/gateway-handler.ts
@@ -66,6 +66,7 @@
         serverResponse.on("close", () => {
             if (!serverResponse.writableFinished) {
                 callerGone.abort();
+                this.logDisconnection(message, receivedAt);
             }
         });
         serverResponse.on("error", () => callerGone.abort());
@@ -87,6 +88,13 @@
         }
     }
 
+    private logDisconnection(message: IncomingMessage, receivedAt: number): void {
+        this.dependencies.logger.info("caller disconnected before the response was complete", {
+            requestId: headerText(message, this.dependencies.dialect.headers.requestId),
+            milliseconds: Math.round(monotonicNow() - receivedAt),
+        });
+    }
+
     private async forwardRequest(
         message: IncomingMessage,
         response: CallerResponse,
--- a/src/request/gateway/plain-forwarder.ts
+++ b/src/request/gateway/plain-forwarder.ts
@@ -133,7 +133,7 @@
         finally {
             endLoad();
         }
-        this.recordAttempt(request, server, attempt, monotonicNow() - sentAt);
+        this.recordAttempt(request, server, attempt, sentAt);
         return attempt;
     }
 
@@ -154,7 +154,7 @@
             : new NoServerAvailableError(request.service, reason, retryAfterSeconds);
     }
 
-    private recordAttempt(request: GatewayRequest, server: ServerEntry, attempt: Attempt, milliseconds: number): void {
+    private recordAttempt(request: GatewayRequest, server: ServerEntry, attempt: Attempt, sentAt: number): void {
         const hasResponse = attempt.verdict === ResponseVerdict.answered;
         if (hasResponse) {
             this.dependencies.exclusions.recordSuccess(server.id);
@@ -170,7 +170,11 @@
             reason: hasResponse ? `status ${attempt.answer.head.status}` : attempt.reason,
             configurationVersion: request.configurationVersion,
             requestId: request.id,
-            fields: { outcome: attempt.verdict, milliseconds: Math.round(milliseconds) },
+            fields: {
+                outcome: attempt.verdict,
+                startedAfterMilliseconds: Math.round(sentAt - request.receivedAt),
+                milliseconds: Math.round(monotonicNow() - sentAt),
+            },
         });
     }
 }
--- a/src/request/gateway/stream-request-handler.ts
+++ b/src/request/gateway/stream-request-handler.ts
@@ -60,8 +60,10 @@
     async run(): Promise<void> {
         this.dependencies.retries.recordRequest(this.request.service);
         for (;;) {
-            const { result, path } = await this.attempt(await this.choosePath());
-            this.log(path, result);
+            const chosenPath = await this.choosePath();
+            const startedAt = monotonicNow();
+            const { result, path } = await this.attempt(chosenPath);
+            this.log(path, result, startedAt);
             if (this.request.callerGone.aborted) {
                 return;
             }
@@ -255,7 +257,7 @@
         throw error;
     }
 
-    private log(path: LayerPath, result: AttemptResult): void {
+    private log(path: LayerPath, result: AttemptResult, startedAt: number): void {
         this.dependencies.metrics.increment("pomelostall.gateway.stream_attempts", 1, { outcome: result.end });
         this.dependencies.logger.decision({
             kind: "stream-attempt",
@@ -274,6 +276,7 @@
                     ? undefined
                     : Math.round(this.progress.firstEventAt - this.request.receivedAt),
                 longestPauseMilliseconds: Math.round(this.progress.longestPauseMilliseconds),
+                startedAfterMilliseconds: Math.round(startedAt - this.request.receivedAt),
                 milliseconds: Math.round(monotonicNow() - this.request.receivedAt),
             },
         });
