Send nothing to backend servers for a disconnected caller or after the deadline

Callers saw (and operators paid for) work that went on for requests that they had given up: a stream that waited for a free server was sent to one after its caller had left, and ran there to its end.

Cause: the code that starts an attempt only listened for the abort of the caller's signal. A signal that is aborted before the listener is added never calls it, and a wait for a path that ends because the caller left still led to an attempt, with a last choice of a path behind it. Each place that starts work had to look at the signal by itself.

Change: an Exchange, the only way to open a connection to a backend server, takes the caller's signal and the deadline as required options. It opens no connection if the signal is aborted or the deadline has passed, and closes it when either happens. The timers and abort listeners of the stream handler, StreamAttempt and readResponse are gone. Waits for a path or a configuration reject with CallerDisconnectedError. A deadline that passes before a connection is open no longer counts against the server.

--- a/src/connection/gateway/exchange.ts
+++ b/src/connection/gateway/exchange.ts
@@ -2,17 +2,29 @@
  * Sends one HTTP request to one backend server over a new connection. Connections are not reused, so that the bytes of
  * an earlier response cannot be read as part of this one, a stale idle connection is never picked, and a failure before
  * the connection is established proves that nothing was sent.
+ *
+ * An exchange is the only way to start work on a backend server, and it starts none for a caller that has disconnected
+ * or whose deadline has passed, however the code that creates it came to do so.
  */
 import { type ClientRequest, type IncomingMessage, request as sendRequest } from "node:http";
+import { monotonicNow } from "../../common/clock.js";
 import type { ServerEntry } from "../../domain/gateway/server-entry.js";
 import { ConnectionFailedError, ConnectionFailure } from "../../errors/index.js";
 
 export interface ExchangeRequest {
     readonly method: string;
     readonly path: string;
-    /** Alternating names and values, in the order in which they are sent. */
-    readonly headers: readonly string[];
     readonly body: Buffer | undefined;
+    /** Returns alternating names and values in the order in which they are sent; called when the request is sent. */
+    headers(): readonly string[];
+}
+
+export interface ExchangeOptions {
+    readonly connectTimeoutMilliseconds: number;
+    /** Monotonic time in milliseconds at which the exchange fails if it is not complete. */
+    readonly deadline: number;
+    /** Aborted when the caller disconnects, which cancels the exchange; undefined if it serves no caller. */
+    readonly callerGone: AbortSignal | undefined;
 }
 
 export interface ResponseHead {
@@ -36,29 +48,81 @@
 }
 
 export class Exchange {
-    private readonly request: ClientRequest;
-    private readonly connectTimer: ReturnType<typeof setTimeout>;
+    private request: ClientRequest | undefined;
+    private connectTimer: ReturnType<typeof setTimeout> | undefined;
+    private deadlineTimer: ReturnType<typeof setTimeout> | undefined;
     private response: IncomingMessage | undefined;
     private connected = false;
     private finished = false;
-    private readonly method: string;
+    private readonly abort = () => this.fail(ConnectionFailure.cancelled);
 
     constructor(
         private readonly server: ServerEntry,
-        request: ExchangeRequest,
-        connectTimeoutMilliseconds: number,
+        private readonly content: ExchangeRequest,
+        private readonly options: ExchangeOptions,
         private readonly listener: ExchangeListener,
     ) {
-        this.method = request.method;
+        options.callerGone?.addEventListener("abort", this.abort);
+        if (options.callerGone === undefined) {
+            this.send();
+        }
+        else {
+            queueMicrotask(() => this.sendIfWanted());
+        }
+    }
+
+    /** Closes the connection, which makes the backend server abandon the request. */
+    cancel(): void {
+        this.close();
+    }
+
+    /** Closes the connection and reports the failure. */
+    fail(failure: ConnectionFailure, cause?: unknown): void {
+        if (!this.finished) {
+            this.close();
+            this.listener.failed(new ConnectionFailedError(this.server.id, failure, this.connected, cause));
+        }
+    }
+
+    /** Stops reading until `resume` is called, which applies a slow caller's backpressure to the backend server. */
+    pause(): void {
+        this.response?.pause();
+    }
+
+    resume(): void {
+        this.response?.resume();
+    }
+
+    private sendIfWanted(): void {
+        if (this.options.callerGone?.aborted === true) {
+            this.fail(ConnectionFailure.cancelled);
+        }
+        else if (monotonicNow() >= this.options.deadline) {
+            this.fail(ConnectionFailure.expired);
+        }
+        else if (!this.finished) {
+            this.send();
+        }
+    }
+
+    private send(): void {
+        const { server, content, options } = this;
+        this.connectTimer = setTimeout(
+            () => this.fail(ConnectionFailure.silent),
+            options.connectTimeoutMilliseconds,
+        );
+        this.deadlineTimer = setTimeout(
+            () => this.fail(this.connected ? ConnectionFailure.silent : ConnectionFailure.expired),
+            options.deadline - monotonicNow(),
+        );
         this.request = sendRequest({
             agent: false,
             host: server.address.host,
             port: server.address.port,
-            method: request.method,
-            path: request.path,
-            headers: request.headers,
+            method: content.method,
+            path: content.path,
+            headers: content.headers(),
         });
-        this.connectTimer = setTimeout(() => this.fail(ConnectionFailure.silent), connectTimeoutMilliseconds);
         this.request.on("socket", socket => {
             socket.setNoDelay(true);
             socket.once("connect", () => {
@@ -72,21 +136,7 @@
                 this.fail(this.connected ? ConnectionFailure.broken : ConnectionFailure.refused, error);
             }
         });
-        this.request.end(request.body);
-    }
-
-    /** Closes the connection, which makes the backend server abandon the request. */
-    cancel(): void {
-        this.close();
-    }
-
-    /** Stops reading until `resume` is called, which applies a slow caller's backpressure to the backend server. */
-    pause(): void {
-        this.response?.pause();
-    }
-
-    resume(): void {
-        this.response?.resume();
+        this.request.end(content.body);
     }
 
     private handleResponse(response: IncomingMessage): void {
@@ -100,7 +150,7 @@
             }
         });
         response.on("end", () => {
-            if (response.complete && isSelfDelimited(response, this.method)) {
+            if (response.complete && isSelfDelimited(response, this.content.method)) {
                 this.finishSuccessfully();
             }
             else {
@@ -120,18 +170,12 @@
         }
     }
 
-    private fail(failure: ConnectionFailure, cause?: unknown): void {
-        if (!this.finished) {
-            const { connected } = this;
-            this.close();
-            this.listener.failed(new ConnectionFailedError(this.server.id, failure, connected, cause));
-        }
-    }
-
     private close(): void {
         this.finished = true;
         clearTimeout(this.connectTimer);
-        this.request.destroy();
+        clearTimeout(this.deadlineTimer);
+        this.options.callerGone?.removeEventListener("abort", this.abort);
+        this.request?.destroy();
     }
 }
 
--- a/src/connection/gateway/http-server-control.ts
+++ b/src/connection/gateway/http-server-control.ts
@@ -1,4 +1,5 @@
 /** Reads reports from backend servers and sends control orders to them over HTTP. */
+import { monotonicNow } from "../../common/clock.js";
 import type { Dialect, PathPart } from "../../domain/gateway/dialect.js";
 import type { ServerControl } from "../../domain/gateway/server-control.js";
 import {
@@ -66,9 +67,10 @@
             headers.push("Content-Type", "application/json", "Content-Length", String(body.length));
         }
         headers.push(this.dialect.headers.expectedServer, server.id);
-        return readResponse(server, { method, path, headers, body }, {
+        return readResponse(server, { method, path, headers: () => headers, body }, {
             connectTimeoutMilliseconds,
-            timeoutMilliseconds: callTimeoutMilliseconds,
+            deadline: monotonicNow() + callTimeoutMilliseconds,
+            callerGone: undefined,
             maximumBytes: maximumResponseBytes,
         });
     }
--- a/src/connection/gateway/read-response.ts
+++ b/src/connection/gateway/read-response.ts
@@ -1,24 +1,18 @@
 /** Sends a request to a backend server and buffers its whole response, up to a maximum size. */
 import type { ServerEntry } from "../../domain/gateway/server-entry.js";
-import { ConnectionFailedError, ConnectionFailure } from "../../errors/index.js";
-import { Exchange, type ExchangeRequest, type ResponseHead } from "./exchange.js";
+import { ConnectionFailure } from "../../errors/index.js";
+import { Exchange, type ExchangeOptions, type ExchangeRequest, type ResponseHead } from "./exchange.js";
 
 export interface BufferedResponse {
     readonly head: ResponseHead;
     readonly body: Buffer;
 }
 
-export interface ReadResponseOptions {
-    readonly connectTimeoutMilliseconds: number;
-    readonly timeoutMilliseconds: number;
+export interface ReadResponseOptions extends ExchangeOptions {
     readonly maximumBytes: number;
-    readonly signal?: AbortSignal;
 }
 
-/**
- * Rejects with ConnectionFailedError if the exchange fails, times out or is aborted, or if the body exceeds the maximum
- * size.
- */
+/** Rejects with ConnectionFailedError if the exchange fails, or if the body exceeds the maximum size. */
 export function readResponse(
     server: ServerEntry,
     request: ExchangeRequest,
@@ -28,31 +22,19 @@
         let head: ResponseHead | undefined;
         const chunks: Buffer[] = [];
         let receivedBytes = 0;
-        const settle = (finish: () => void) => {
-            clearTimeout(timer);
-            options.signal?.removeEventListener("abort", abort);
-            finish();
-        };
-        const abortWith = (failure: ConnectionFailure) => {
-            exchange.cancel();
-            settle(() => reject(new ConnectionFailedError(server.id, failure, true)));
-        };
-        const abort = () => abortWith(ConnectionFailure.broken);
-        const exchange = new Exchange(server, request, options.connectTimeoutMilliseconds, {
+        const exchange = new Exchange(server, request, options, {
             headReceived: received => {
                 head = received;
             },
             chunkReceived: chunk => {
                 receivedBytes += chunk.length;
+                chunks.push(chunk);
                 if (receivedBytes > options.maximumBytes) {
-                    abortWith(ConnectionFailure.protocol);
+                    exchange.fail(ConnectionFailure.protocol);
                 }
-                chunks.push(chunk);
             },
-            completed: () => settle(() => resolve({ head: head!, body: Buffer.concat(chunks) })),
-            failed: error => settle(() => reject(error)),
+            completed: () => resolve({ head: head!, body: Buffer.concat(chunks) }),
+            failed: reject,
         });
-        const timer = setTimeout(() => abortWith(ConnectionFailure.silent), options.timeoutMilliseconds);
-        options.signal?.addEventListener("abort", abort);
     });
 }
--- a/src/errors/connection-errors.ts
+++ b/src/errors/connection-errors.ts
@@ -16,6 +16,10 @@
     silent: "silent",
     /** A frame arrived that belongs to another attempt or cannot be parsed. */
     protocol: "protocol",
+    /** Closed or not begun because the caller has disconnected. */
+    cancelled: "cancelled",
+    /** The deadline passed before a connection was open. */
+    expired: "expired",
 } as const;
 export type ConnectionFailure = typeof ConnectionFailure[keyof typeof ConnectionFailure];
 
--- a/src/request/gateway/gateway-handler.ts
+++ b/src/request/gateway/gateway-handler.ts
@@ -9,11 +9,13 @@
 import {
     BadRequestError,
     BodyTooLargeError,
+    CallerDisconnectedError,
     ConfigurationMissingError,
     HeadersTooLargeError,
     InternalError,
     NoServerAvailableError,
     NotFoundError,
+    Outcome,
     PomelostallError,
     UnauthorizedError,
 } from "../../errors/index.js";
@@ -62,14 +64,15 @@
     private async serve(message: IncomingMessage, serverResponse: ServerResponse): Promise<void> {
         const receivedAt = monotonicNow();
         const response = new CallerResponse(serverResponse, () => this.dependencies.shouldCloseConnections());
-        const callerGone = new AbortController();
+        const disconnection = new AbortController();
+        const callerGone = disconnection.signal;
         serverResponse.on("close", () => {
             if (!serverResponse.writableFinished) {
-                callerGone.abort();
+                disconnection.abort();
                 this.logDisconnection(message, receivedAt);
             }
         });
-        serverResponse.on("error", () => callerGone.abort());
+        serverResponse.on("error", () => disconnection.abort());
         serverResponse.on("finish", () => {
             const milliseconds = monotonicNow() - receivedAt;
             this.dependencies.metrics.timing("pomelostall.gateway.request_milliseconds", milliseconds, {
@@ -81,10 +84,10 @@
             }
         });
         try {
-            await this.forwardRequest(message, response, receivedAt, callerGone.signal);
+            await this.forwardRequest(message, response, receivedAt, callerGone);
         }
         catch (error) {
-            this.respondWithError(message, response, receivedAt, error, callerGone.signal);
+            this.respondWithError(message, response, receivedAt, error, callerGone);
         }
     }
 
@@ -257,19 +260,24 @@
     }
 }
 
-/** Returns undefined for a request without a body. */
+/** Returns undefined for a request without a body. Rejects with BodyTooLargeError or CallerDisconnectedError. */
 async function readBody(message: IncomingMessage, maximumBytes: number): Promise<Buffer | undefined> {
     if (message.headers["content-length"] === undefined && message.headers["transfer-encoding"] === undefined) {
         return undefined;
     }
     const chunks: Buffer[] = [];
     let bytes = 0;
-    for await (const chunk of message) {
-        bytes += (chunk as Buffer).length;
-        if (bytes > maximumBytes) {
-            throw new BodyTooLargeError(maximumBytes);
+    try {
+        for await (const chunk of message) {
+            bytes += (chunk as Buffer).length;
+            if (bytes > maximumBytes) {
+                throw new BodyTooLargeError(maximumBytes);
+            }
+            chunks.push(chunk as Buffer);
         }
-        chunks.push(chunk as Buffer);
+    }
+    catch (error) {
+        throw error instanceof PomelostallError ? error : new CallerDisconnectedError(Outcome.notRun, error);
     }
     return Buffer.concat(chunks);
 }
--- a/src/request/gateway/plain-forwarder.ts
+++ b/src/request/gateway/plain-forwarder.ts
@@ -12,7 +12,9 @@
 import type { Dialect } from "../../domain/gateway/dialect.js";
 import type { ServerEntry } from "../../domain/gateway/server-entry.js";
 import {
+    CallerDisconnectedError,
     ConnectionFailedError,
+    ConnectionFailure,
     DeadlineExceededError,
     ExchangeFailedError,
     NoServerAvailableError,
@@ -51,7 +53,18 @@
 
 type Attempt =
     | { readonly verdict: typeof ResponseVerdict.answered; readonly answer: BufferedResponse; }
-    | { readonly verdict: typeof ResponseVerdict.notRun | typeof ResponseVerdict.invalid; readonly reason: string; };
+    | {
+        readonly verdict: typeof ResponseVerdict.notRun | typeof ResponseVerdict.invalid;
+        readonly reason: string;
+        /** Whether the attempt ended before the server could be at fault. */
+        readonly endedByGateway: boolean;
+    };
+
+/** Failures that say nothing about the server. */
+const gatewayFailures: ReadonlySet<ConnectionFailure> = new Set([
+    ConnectionFailure.cancelled,
+    ConnectionFailure.expired,
+]);
 
 export class PlainForwarder {
     constructor(private readonly dependencies: PlainForwarderDependencies) {}
@@ -94,8 +107,10 @@
                 ? "the backend server responded with a server error"
                 : attempt.reason;
             const mayRetry = executions === 0 || (retryable && executions < request.route.maximumAttempts);
-            const callerWaiting = !request.callerGone.aborted && !hasPassed(request.deadline);
-            if (!mayRetry || refusals > maximumRefusals || !callerWaiting) {
+            if (request.callerGone.aborted) {
+                throw new CallerDisconnectedError(executions > 0 ? Outcome.unknown : Outcome.notRun);
+            }
+            if (!mayRetry || refusals > maximumRefusals || hasPassed(request.deadline)) {
                 return this.finishWithoutSuccess(request, serverError, executions, reason);
             }
         }
@@ -110,25 +125,29 @@
             const answer = await readResponse(server, {
                 method: request.method,
                 path: request.target,
-                headers: dependencies.headers.forAttempt(request, { server }),
+                headers: () => dependencies.headers.forAttempt(request, { server }),
                 body: request.body,
             }, {
                 connectTimeoutMilliseconds,
-                timeoutMilliseconds: Math.max(1, request.deadline - sentAt),
+                deadline: request.deadline,
+                callerGone: request.callerGone,
                 maximumBytes: maximumResponseBytes,
-                signal: request.callerGone,
             });
             const verdict = checkResponse(answer.head, request.id, dependencies.dialect.headers);
             attempt = verdict === ResponseVerdict.answered
                 ? { verdict, answer }
-                : { verdict, reason: `status ${answer.head.status}` };
+                : { verdict, reason: `status ${answer.head.status}`, endedByGateway: false };
         }
         catch (error) {
             if (!(error instanceof ConnectionFailedError)) {
                 throw error;
             }
             const verdict = error.bytesWritten ? ResponseVerdict.invalid : ResponseVerdict.notRun;
-            attempt = { verdict, reason: `connection ${error.failure}` };
+            attempt = {
+                verdict,
+                reason: `connection ${error.failure}`,
+                endedByGateway: gatewayFailures.has(error.failure),
+            };
         }
         finally {
             endLoad();
@@ -159,7 +178,7 @@
         if (hasResponse) {
             this.dependencies.exclusions.recordSuccess(server.id);
         }
-        else if (!request.callerGone.aborted) {
+        else if (!attempt.endedByGateway) {
             this.dependencies.exclusions.recordFailure(server.id, attempt.reason);
         }
         this.dependencies.metrics.increment("pomelostall.gateway.service_attempts", 1, { outcome: attempt.verdict });
--- a/src/request/gateway/poll-until-defined.ts
+++ b/src/request/gateway/poll-until-defined.ts
@@ -1,5 +1,6 @@
 /** Polls for a value that is expected shortly, for at most 1 s or a small share of the caller's timeout. */
 import { delay, monotonicNow } from "../../common/clock.js";
+import { CallerDisconnectedError, Outcome } from "../../errors/index.js";
 
 /** Largest share of the caller's timeout to wait; the request is then rejected, with Retry-After if it has not run. */
 const callerTimeoutShare = 0.15;
@@ -18,15 +19,21 @@
     readonly callerGone: AbortSignal;
 }
 
-/** Returns the first defined result, or undefined once the limit has passed or the caller has disconnected. */
+/**
+ * Returns the first defined result, or undefined once the limit has passed. Rejects with CallerDisconnectedError once
+ * the caller has disconnected.
+ */
 export async function pollUntilDefined<Value>(
     poll: () => Value | undefined,
     { since, callerTimeoutMilliseconds, callerGone }: WaitLimits,
 ): Promise<Value | undefined> {
     const waitEnd = since + Math.min(maximumWaitMilliseconds, callerTimeoutMilliseconds * callerTimeoutShare);
     for (;;) {
+        if (callerGone.aborted) {
+            throw new CallerDisconnectedError(Outcome.unknown);
+        }
         const value = poll();
-        if (value !== undefined || callerGone.aborted || monotonicNow() >= waitEnd) {
+        if (value !== undefined || monotonicNow() >= waitEnd) {
             return value;
         }
         await delay(pollIntervalMilliseconds, callerGone);
--- a/src/request/gateway/stream-attempt.ts
+++ b/src/request/gateway/stream-attempt.ts
@@ -2,10 +2,15 @@
  * One attempt of a streaming request on one path: validates the response head, splits the body into events, and reports
  * how the attempt ended.
  */
-import { Exchange, type ExchangeRequest, type ResponseHead } from "../../connection/gateway/exchange.js";
+import {
+    Exchange,
+    type ExchangeOptions,
+    type ExchangeRequest,
+    type ResponseHead,
+} from "../../connection/gateway/exchange.js";
 import type { HeaderNames } from "../../domain/gateway/dialect.js";
 import type { ServerEntry } from "../../domain/gateway/server-entry.js";
-import type { ConnectionFailedError } from "../../errors/index.js";
+import { type ConnectionFailedError, ConnectionFailure } from "../../errors/index.js";
 import { type CompleteEvent, EventSplitter } from "./event-splitter.js";
 import { checkResponse, ResponseVerdict } from "./response-check.js";
 
@@ -64,8 +69,9 @@
         private readonly requestId: string,
         private readonly names: HeaderNames,
         private readonly observer: AttemptObserver,
+        limits: Omit<ExchangeOptions, "connectTimeoutMilliseconds">,
     ) {
-        this.exchange = new Exchange(server, request, connectTimeoutMilliseconds, {
+        this.exchange = new Exchange(server, request, { ...limits, connectTimeoutMilliseconds }, {
             headReceived: head => this.handleHead(head),
             chunkReceived: chunk => this.handleChunk(chunk),
             completed: () => this.complete(),
@@ -73,11 +79,6 @@
         });
     }
 
-    /** Cancels the attempt; closing the connection makes the backend server drop the request. */
-    cancel(reason: string): void {
-        this.finish({ end: AttemptEnd.cancelled, reason });
-    }
-
     /** Ends the attempt as stalled; `lostServers` lists the servers that caused it, if any are known. */
     abandon(reason: string, lostServers: readonly ServerEntry[]): void {
         this.finish({ end: AttemptEnd.stalled, reason, lostServers });
@@ -137,9 +138,13 @@
         }
     }
 
-    private handleFailure(error: ConnectionFailedError): void {
-        const end = error.bytesWritten ? AttemptEnd.broken : AttemptEnd.notRun;
-        this.finish({ end, reason: `connection ${error.failure}` });
+    private handleFailure({ failure, bytesWritten }: ConnectionFailedError): void {
+        const reason = gatewayReason(failure, bytesWritten);
+        if (reason !== undefined) {
+            this.finish({ end: AttemptEnd.cancelled, reason });
+            return;
+        }
+        this.finish({ end: bytesWritten ? AttemptEnd.broken : AttemptEnd.notRun, reason: `connection ${failure}` });
     }
 
     private finish(result: AttemptResult): void {
@@ -147,3 +152,13 @@
         this.resolveResult(result);
     }
 }
+
+/** Why the gateway itself ended the attempt; undefined if the connection failed. */
+function gatewayReason(failure: ConnectionFailure, connected: boolean): string | undefined {
+    if (failure === ConnectionFailure.cancelled) {
+        return "caller disconnected";
+    }
+    return failure === ConnectionFailure.expired || (failure === ConnectionFailure.silent && connected)
+        ? "request deadline passed"
+        : undefined;
+}
--- a/src/request/gateway/stream-request-handler.ts
+++ b/src/request/gateway/stream-request-handler.ts
@@ -6,7 +6,13 @@
 import type { EngineProfile } from "../../domain/gateway/configuration.js";
 import type { Dialect } from "../../domain/gateway/dialect.js";
 import { formatSocketAddress } from "../../domain/gateway/server-entry.js";
-import { DeadlineExceededError, ExchangeFailedError, NoServerAvailableError, Outcome } from "../../errors/index.js";
+import {
+    CallerDisconnectedError,
+    DeadlineExceededError,
+    ExchangeFailedError,
+    NoServerAvailableError,
+    Outcome,
+} from "../../errors/index.js";
 import type { FirstEventLatency } from "../../process/gateway/first-event-latency.js";
 import type { LocalServerLoad } from "../../process/gateway/local-server-load.js";
 import type { ServerRegistry } from "../../process/gateway/server-registry.js";
@@ -56,7 +62,7 @@
         this.progress = new StreamProgress(response);
     }
 
-    /** Throws a PomelostallError if the stream could not be completed, unless the caller disconnected in an attempt. */
+    /** Throws a PomelostallError if the stream could not be completed. */
     async run(): Promise<void> {
         this.dependencies.retries.recordRequest(this.request.service);
         for (;;) {
@@ -65,7 +71,7 @@
             const { result, path } = await this.attempt(chosenPath);
             this.log(path, result, startedAt);
             if (this.request.callerGone.aborted) {
-                return;
+                throw new CallerDisconnectedError(this.outcome(result));
             }
             if (result.end === AttemptEnd.complete) {
                 path.parts.forEach(({ server }) => this.dependencies.exclusions.recordSuccess(server.id));
@@ -115,34 +121,28 @@
                 method: request.method,
                 path: request.target,
                 body: request.body,
-                headers: dependencies.headers.forAttempt(request, {
-                    server,
-                    layerPath: dependencies.dialect.formatLayerPath(addressedParts(path)),
-                    lastEventId: progress.lastEventId,
-                }),
+                headers: () =>
+                    dependencies.headers.forAttempt(request, {
+                        server,
+                        layerPath: dependencies.dialect.formatLayerPath(addressedParts(path)),
+                        lastEventId: progress.lastEventId,
+                    }),
             },
             request.id,
             dependencies.dialect.headers,
             progress,
+            { deadline: request.deadline, callerGone: request.callerGone },
         );
         const sentAt = monotonicNow();
         const supervisor = this.supervise(path, attempt, size);
         progress.attach(attempt, supervisor.stallDetector);
-        const timer = setTimeout(
-            () => attempt.cancel("request deadline passed"),
-            Math.max(0, request.deadline - sentAt),
-        );
-        const callerGone = () => attempt.cancel("caller disconnected");
-        request.callerGone.addEventListener("abort", callerGone);
         try {
             const result = await attempt.result;
             this.recordFirstEventTime(sentAt, result);
             return { result, path: supervisor.path };
         }
         finally {
-            clearTimeout(timer);
             supervisor.stop();
-            request.callerGone.removeEventListener("abort", callerGone);
             endLoad();
         }
     }
@@ -219,11 +219,7 @@
     private finishOrRetry(result: AttemptResult): boolean {
         const { request, dependencies } = this;
         if (hasPassed(request.deadline)) {
-            this.abortWith(
-                new DeadlineExceededError(
-                    this.executions > 0 || result.end !== AttemptEnd.notRun ? Outcome.unknown : Outcome.notRun,
-                ),
-            );
+            this.abortWith(new DeadlineExceededError(this.outcome(result)));
         }
         if (result.end === AttemptEnd.notRun) {
             this.refusals++;
@@ -243,6 +239,10 @@
         return false;
     }
 
+    private outcome(lastResult: AttemptResult): Outcome {
+        return this.executions > 0 || lastResult.end !== AttemptEnd.notRun ? Outcome.unknown : Outcome.notRun;
+    }
+
     private failRequest(reason: string): never {
         const error = this.executions > 0
             ? new ExchangeFailedError(reason)
--- a/test/platform/exchange.test.ts
+++ b/test/platform/exchange.test.ts
@@ -1,6 +1,7 @@
 import { afterEach, beforeEach, expect, jest, test } from "@jest/globals";
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
 import { Exchange } from "../../src/connection/gateway/exchange.js";
+import { readResponse } from "../../src/connection/gateway/read-response.js";
 import { serverEntry } from "../process/gateway/fixtures.js";
 
 const servers: Server[] = [];
@@ -13,23 +14,30 @@
     await closed;
 });
 
-/** Runs an exchange with a TCP server that sends raw bytes, and describes how the exchange ended. */
-async function outcomeOf(behave: (socket: Socket) => void): Promise<string> {
+const request = { method: "GET", path: "/", headers: () => ["Host", "x", "Connection", "close"], body: undefined };
+
+/** Starts a TCP server on a free port of loopback. */
+async function listen(handleConnection: (socket: Socket) => void): Promise<AddressInfo> {
     const server = createServer(socket => {
         sockets.push(socket);
         socket.on("error", () => undefined);
-        socket.once("data", () => behave(socket));
+        handleConnection(socket);
     });
     servers.push(server);
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    const { port } = server.address() as AddressInfo;
+    return server.address() as AddressInfo;
+}
+
+/** Runs an exchange with a TCP server that sends raw bytes, and describes how the exchange ended. */
+async function outcomeOf(behave: (socket: Socket) => void): Promise<string> {
+    const { port } = await listen(socket => socket.once("data", () => behave(socket)));
     return new Promise(resolve => {
         let body = "";
         const entry = serverEntry("raw", { address: { host: "127.0.0.1", port } });
         new Exchange(
             entry,
-            { method: "GET", path: "/", headers: ["Host", "x", "Connection", "close"], body: undefined },
-            500,
+            request,
+            { connectTimeoutMilliseconds: 500, deadline: performance.now() + 5_000, callerGone: undefined },
             {
                 headReceived: () => undefined,
                 chunkReceived: chunk => {
@@ -71,3 +79,16 @@
 test("bytes that are not an HTTP response fail the exchange", async () => {
     expect(await outcomeOf(socket => socket.end("garbage\r\n\r\n"))).toBe("failed broken written=true");
 });
+
+test.each([
+    ["cancelled", AbortSignal.abort(), performance.now() + 5_000],
+    ["expired", new AbortController().signal, performance.now() - 1],
+])("no connection is opened for a caller whose request is %s", async (failure, callerGone, deadline) => {
+    let connections = 0;
+    const { port } = await listen(() => connections++);
+    const entry = serverEntry("idle", { address: { host: "127.0.0.1", port } });
+    const options = { connectTimeoutMilliseconds: 500, deadline, callerGone, maximumBytes: 100 };
+    await expect(readResponse(entry, request, options)).rejects.toMatchObject({ failure, bytesWritten: false });
+    await new Promise(resolve => setTimeout(resolve, 50));
+    expect(connections).toBe(0);
+});
--- a/test/platform/gateway-fixture.ts
+++ b/test/platform/gateway-fixture.ts
@@ -1,6 +1,6 @@
 /** Runs a gateway with the adapter of the target platform against a stand-in store and backend servers on loopback. */
 import { type IncomingHttpHeaders, request } from "node:http";
-import { type AddressInfo, createServer } from "node:net";
+import { type AddressInfo, connect, createServer } from "node:net";
 import { decodeConfiguration } from "../../platform/decode-configuration.js";
 import { decodeServerEntry } from "../../platform/decode-server.js";
 import { platformDialect } from "../../platform/dialect.js";
@@ -179,6 +179,28 @@
         });
     }
 
+    /** Sends a request and closes the connection at once, so that the gateway reads both in the same turn or the next. */
+    sendAndDisconnectAtOnce(method: string, path: string): Promise<void> {
+        const lines = [
+            `${method} ${path} HTTP/1.1`,
+            "Host: yard.example",
+            "Authorization: Bearer key-1",
+            "X-Attempt-Id: leaver",
+            "X-Deadline-Ms: 2000",
+            "Content-Length: 6",
+            "",
+            "prompt",
+        ];
+        return new Promise((resolve, reject) => {
+            const socket = connect(this.callerPort, "127.0.0.1", () => {
+                socket.end(lines.join("\r\n"));
+                socket.destroy();
+            });
+            socket.on("error", reject);
+            socket.on("close", () => resolve());
+        });
+    }
+
     async stop(): Promise<void> {
         await Promise.all(this.gateways.map(({ gateway }) => gateway.stop()));
         await Promise.all(this.servers.map(server => server.stop()));
