Notice disconnected callers before an attempt, also on an event loop that is behind

Callers that had given up because their request was not read saw it run all the same: plain requests, bookings and streams were sent to a backend server although the closing of the connection had already arrived.

Cause: a request and its caller's disconnection that arrive together are read in different turns of the event loop, and the disconnection was taken from 'close' of the response, which comes turns after the end of the socket's input has been read, or not at all while the caller does not read. On a loop that is 1 s late, each turn is 1 s of work for nobody.

Change: the signal follows the end or failure of the socket's input, and an Exchange for a caller opens its connection only after the loop has read the input that has already arrived.

Evidence: three tests ('... is not sent to a server if its caller has left before the gateway reads it') failed before with 20 of 20 requests sent, and pass now.

--- /dev/null
+++ b/src/common/event-loop.ts
@@ -0,0 +1,11 @@
+/** Order of work in the event loop. */
+
+/**
+ * Calls the function once the event loop has read all input that has already arrived, such as the closing of a
+ * connection. On a router that is behind, a request and its caller's disconnection arrive together but are read one
+ * after the other.
+ */
+export function afterPendingInput(run: () => void): void {
+    // The first callback runs before the next poll for input, the second one after it.
+    setImmediate(() => setImmediate(run));
+}
--- a/src/connection/gateway/exchange.ts
+++ b/src/connection/gateway/exchange.ts
@@ -8,6 +8,7 @@
  */
 import { type ClientRequest, type IncomingMessage, request as sendRequest } from "node:http";
 import { monotonicNow } from "../../common/clock.js";
+import { afterPendingInput } from "../../common/event-loop.js";
 import type { ServerEntry } from "../../domain/gateway/server-entry.js";
 import { ConnectionFailedError, ConnectionFailure } from "../../errors/index.js";
 
@@ -67,7 +68,7 @@
             this.send();
         }
         else {
-            queueMicrotask(() => this.sendIfWanted());
+            afterPendingInput(() => this.sendIfWanted());
         }
     }
 
--- a/src/request/gateway/gateway-handler.ts
+++ b/src/request/gateway/gateway-handler.ts
@@ -20,6 +20,7 @@
     UnauthorizedError,
 } from "../../errors/index.js";
 import type { GatewayConfigurationIndex } from "../../version/gateway/gateway-configuration-index.js";
+import { watchDisconnection } from "./caller-disconnection.js";
 import { CallerResponse } from "./caller-response.js";
 import type { PlainForwarder } from "./plain-forwarder.js";
 import { pollUntilDefined } from "./poll-until-defined.js";
@@ -64,15 +65,8 @@
     private async serve(message: IncomingMessage, serverResponse: ServerResponse): Promise<void> {
         const receivedAt = monotonicNow();
         const response = new CallerResponse(serverResponse, () => this.dependencies.shouldCloseConnections());
-        const disconnection = new AbortController();
-        const callerGone = disconnection.signal;
-        serverResponse.on("close", () => {
-            if (!serverResponse.writableFinished) {
-                disconnection.abort();
-                this.logDisconnection(message, receivedAt);
-            }
-        });
-        serverResponse.on("error", () => disconnection.abort());
+        const callerGone = watchDisconnection(message, serverResponse);
+        callerGone.addEventListener("abort", () => this.logDisconnection(message, receivedAt));
         serverResponse.on("finish", () => {
             const milliseconds = monotonicNow() - receivedAt;
             this.dependencies.metrics.timing("pomelostall.gateway.request_milliseconds", milliseconds, {
--- a/test/platform/disconnected-callers.test.ts
+++ b/test/platform/disconnected-callers.test.ts
@@ -18,6 +18,19 @@
     await fixture.waitUntil(() => fixture.isReady());
 }
 
+// A router whose event loop is late reads a request together with the disconnection of its caller.
+test.each([["GET", "/look/1"], ["POST", "/book/1"], ["POST", "/report-text/1"]])(
+    "%s %s is not sent to a server if its caller has left before the gateway reads it",
+    async (method, path) => {
+        await startFixture();
+        for (let count = 0; count < 20; count++) {
+            await fixture.sendAndDisconnectAtOnce(method, path);
+        }
+        await new Promise(resolve => setTimeout(resolve, 200));
+        expect(fixture.servers.flatMap(({ received }) => received)).toEqual([]);
+    },
+);
+
 test("a stream that waits for a free server is not begun after its caller has left", async () => {
     await startFixture();
     fixture.servers.forEach(server => {
