Add up routers' loads once per report instead of once per router of a notice

Cause: twice a second the leader sends each router the load of all others, and it added up all reports anew for each router and again for each report that came back: routers x routers x engines, 2.9 million map entries a round at 123 routers and 98 engines.

Change: the sum of the reports is kept, and a report replaces its predecessor in it; a router's share is subtracted from a copy.

--- a/src/process/gateway/fleet-load.ts
+++ b/src/process/gateway/fleet-load.ts
@@ -37,8 +37,13 @@
 
 export class FleetLoad implements LoadEstimate {
     private otherLoads: TimestampedLoads | undefined;
-    /** Load of each other router, by its address; filled on the placement leader only. */
+    /** Load of each other router, by its address, oldest report first; filled on the placement leader only. */
     private readonly loadsByRouter = new Map<string, TimestampedLoads>();
+    /**
+     * Sum of `loadsByRouter`, kept up to date with each report: adding up all reports for each router of a notice would
+     * cost time proportional to the square of the number of routers.
+     */
+    private readonly reportedTotal = new Map<string, RunningLoad>();
     private readonly extrapolated: ExtrapolatedLoad;
 
     constructor(private readonly localLoad: LocalServerLoad, routerCount: () => number) {
@@ -71,16 +76,20 @@
 
     /** Records the load that another router reported to this router, the placement leader. */
     recordRouterLoads(router: string, loads: ServerLoads): void {
-        const now = monotonicNow();
-        [...this.loadsByRouter].filter(([, { receivedAt }]) => now - receivedAt > maximumAgeMilliseconds)
-            .forEach(([expired]) => this.loadsByRouter.delete(expired));
-        this.loadsByRouter.set(router, { loads, receivedAt: now });
-        this.applyOtherLoads(sumLoads(this.unexpiredRouterLoads()));
+        this.removeExpiredReports();
+        this.removeReport(router);
+        this.loadsByRouter.set(router, { loads, receivedAt: monotonicNow() });
+        addLoads(this.reportedTotal, loads, 1);
+        this.applyOtherLoads(this.reportedTotal);
     }
 
     /** Total load of all routers except the given one, from unexpired reports and this router's own load. */
     totalExcluding(router: string): ServerLoads {
-        return sumLoads([this.localLoad.all, ...this.unexpiredRouterLoads(router)]);
+        this.removeExpiredReports();
+        const total = new Map(this.reportedTotal);
+        addLoads(total, this.localLoad.all, 1);
+        addLoads(total, this.loadsByRouter.get(router)?.loads ?? new Map(), -1);
+        return total;
     }
 
     private unexpiredOtherLoads(): ServerLoads | undefined {
@@ -89,21 +98,35 @@
             : undefined;
     }
 
-    private unexpiredRouterLoads(exceptRouter?: string): ServerLoads[] {
+    private removeExpiredReports(): void {
         const limit = monotonicNow() - maximumAgeMilliseconds;
-        return [...this.loadsByRouter].flatMap(([router, { loads, receivedAt }]) =>
-            receivedAt > limit && router !== exceptRouter ? [loads] : []
-        );
+        for (const [router, { receivedAt }] of this.loadsByRouter) {
+            if (receivedAt > limit) {
+                return;
+            }
+            this.removeReport(router);
+        }
+    }
+
+    private removeReport(router: string): void {
+        addLoads(this.reportedTotal, this.loadsByRouter.get(router)?.loads ?? new Map(), -1);
+        this.loadsByRouter.delete(router);
     }
 }
 
-function sumLoads(summands: readonly ServerLoads[]): ServerLoads {
-    const total = new Map<string, RunningLoad>();
-    for (const loads of summands) {
-        for (const [id, { requests, tokens }] of loads) {
-            const before = total.get(id);
-            total.set(id, { requests: requests + (before?.requests ?? 0), tokens: tokens + (before?.tokens ?? 0) });
+/** Adds the loads to the total, or subtracts them if the sign is -1. */
+function addLoads(total: Map<string, RunningLoad>, loads: ServerLoads, sign: 1 | -1): void {
+    for (const [id, { requests, tokens }] of loads) {
+        const before = total.get(id);
+        const sum = {
+            requests: (before?.requests ?? 0) + sign * requests,
+            tokens: (before?.tokens ?? 0) + sign * tokens,
+        };
+        if (sum.requests === 0 && sum.tokens === 0) {
+            total.delete(id);
+        }
+        else {
+            total.set(id, sum);
         }
     }
-    return total;
 }
--- a/test/process/gateway/fleet-load.test.ts
+++ b/test/process/gateway/fleet-load.test.ts
@@ -1,4 +1,5 @@
 import { beforeEach, expect, jest, test } from "@jest/globals";
+import type { RunningLoad } from "../../../src/domain/gateway/placement-notice.js";
 import { FleetLoad } from "../../../src/process/gateway/fleet-load.js";
 import { LocalServerLoad } from "../../../src/process/gateway/local-server-load.js";
 
@@ -49,3 +50,29 @@
     expect(fleetLoad.requests("a")).toBe(0);
     expect(fleetLoad.totalExcluding("third").size).toBe(0);
 });
+
+/** Counts how often the loads are read. */
+class CountedLoads extends Map<string, RunningLoad> {
+    reads = 0;
+
+    override [Symbol.iterator]() {
+        this.reads++;
+        return super[Symbol.iterator]();
+    }
+}
+
+// A leader that added up all reports for each router fell behind its event loop and ran out of memory.
+test("a round of notices to 120 routers reads each router's report a few times, not once for each router", () => {
+    const reports = Array.from({ length: 120 }, () => new CountedLoads([["a", { requests: 1, tokens: 10 }]]));
+    const record = () => reports.forEach((loads, index) => fleetLoad.recordRouterLoads(`router-${index}`, loads));
+    record();
+    reports.forEach(loads => {
+        loads.reads = 0;
+    });
+    reports.forEach((_loads, index) =>
+        expect(fleetLoad.totalExcluding(`router-${index}`).get("a")).toEqual({ requests: 119, tokens: 1_190 })
+    );
+    record();
+    expect(fleetLoad.requests("a")).toBe(120);
+    expect(Math.max(...reports.map(({ reads }) => reads))).toBeLessThanOrEqual(4);
+});
