Plan once for each batch of registry changes, and share notices between changes

While engines register or load layers, the placement leader fell behind its event loop and callers of that router gave up.

Cause: each single change of the registry ran a whole pass of the placement loop, and every second pass, by whatever it was caused, sent a notice to every router; 100 registrations meant 100 plans and 50 rounds of notices. The state of an engine that changed sent another round at once.

Change: changes that arrive together are planned in one pass. Notices follow the clock, every 500 ms, and a change brings the next one forward, but not closer than 250 ms to the one before; the leader's own registry is corrected at once. A router that no longer leads sends none.

--- a/src/process/gateway/layer-placement/placement-loop.ts
+++ b/src/process/gateway/layer-placement/placement-loop.ts
@@ -31,8 +31,10 @@
 const minimumMemoryReserve = 0.06;
 /** Interval at which pending orders, excluded engines and missing layers are checked. */
 const reconcileIntervalMilliseconds = 250;
-/** Number of passes between notices to the other routers; with the interval above, one notice every 500 ms. */
-const passesPerNotice = 2;
+/** Interval at which notices are sent to the other routers while nothing changes. */
+const noticeIntervalMilliseconds = 500;
+/** Changes in quick succession share a notice; the first one is sent at once. */
+const minimumNoticeIntervalMilliseconds = 250;
 /** While no engine holds layers, planning starts once the registry has not changed for this long. */
 const initialQuietMilliseconds = 1_500;
 const millisecondsPerSecond = 1_000;
@@ -60,7 +62,9 @@
     private readonly engineStates = new Map<string, EngineState>();
     private timer: ReturnType<typeof setInterval> | undefined;
     private lastChangeAt = monotonicNow();
-    private passes = 0;
+    private lastNoticeAt = -Infinity;
+    private noticeTimer: ReturnType<typeof setTimeout> | undefined;
+    private reconcileScheduled = false;
     private unsubscribe: (() => void) | undefined;
 
     constructor(private readonly dependencies: PlacementLoopDependencies) {}
@@ -68,22 +72,34 @@
     async start(): Promise<void> {
         this.unsubscribe = this.dependencies.registry.onChange(() => {
             this.lastChangeAt = monotonicNow();
-            this.reconcile();
+            this.scheduleReconcile();
         });
         this.timer = setInterval(() => this.reconcile(), reconcileIntervalMilliseconds);
     }
 
     async stop(): Promise<void> {
         clearInterval(this.timer);
+        clearTimeout(this.noticeTimer);
         this.unsubscribe?.();
     }
 
+    /** Changes of the registry arrive in batches, each of which needs only one pass. */
+    private scheduleReconcile(): void {
+        if (this.reconcileScheduled) {
+            return;
+        }
+        this.reconcileScheduled = true;
+        queueMicrotask(() => {
+            this.reconcileScheduled = false;
+            this.reconcile();
+        });
+    }
+
     private reconcile(): void {
         if (!this.dependencies.leadership.isLeader) {
             this.engineStates.clear();
             return;
         }
-        this.passes++;
         const present = new Set<string>();
         for (const service of this.dependencies.configuration.current?.services.values() ?? []) {
             if (service.engine !== undefined) {
@@ -91,7 +107,7 @@
             }
         }
         [...this.engineStates.keys()].filter(id => !present.has(id)).forEach(id => this.engineStates.delete(id));
-        if (this.passes % passesPerNotice === 0) {
+        if (monotonicNow() - this.lastNoticeAt > noticeIntervalMilliseconds - reconcileIntervalMilliseconds) {
             this.sendNotice();
         }
     }
@@ -153,7 +169,7 @@
             state.applyReportFailure(String(error));
         }
         if (state.usable !== usableBefore || state.servableLayers !== layersBefore) {
-            this.sendNotice();
+            this.publishChange();
         }
     }
 
@@ -175,7 +191,7 @@
             this.logOrder(state, range, outcome, before, report.ordersBegun);
             state.applyOutcome(range, outcome);
             if (outcome === OrderOutcome.begun && before !== undefined) {
-                this.sendNotice();
+                this.publishChange();
             }
         }
         catch (error) {
@@ -207,12 +223,36 @@
         });
     }
 
-    /**
-     * Applies the engine states that differ from the registry to this router's registry, and sends them to the other
-     * routers together with the fleet's load.
-     */
+    /** Applies a changed engine state to this router at once, and sends it to the others with the next notice. */
+    private publishChange(): void {
+        const wait = this.lastNoticeAt + minimumNoticeIntervalMilliseconds - monotonicNow();
+        if (wait <= 0) {
+            this.sendNotice();
+            return;
+        }
+        this.dependencies.registry.applyNotice(this.listCorrections());
+        this.noticeTimer ??= setTimeout(() => this.sendNotice(), wait);
+    }
+
+    /** Sends the engine states that differ from the registry to all routers, together with the fleet's load. */
     private sendNotice(): void {
-        const servers: ServerNotice[] = [...this.engineStates.values()]
+        clearTimeout(this.noticeTimer);
+        this.noticeTimer = undefined;
+        if (!this.dependencies.leadership.isLeader) {
+            return;
+        }
+        this.lastNoticeAt = monotonicNow();
+        const { registry, fleetLoad, notices, routerName: sender } = this.dependencies;
+        const servers = this.listCorrections();
+        registry.applyNotice(servers);
+        notices.send(
+            router => ({ sender, servers, otherLoads: fleetLoad.totalExcluding(formatSocketAddress(router)) }),
+            (router, loads) => fleetLoad.recordRouterLoads(formatSocketAddress(router), loads),
+        );
+    }
+
+    private listCorrections(): ServerNotice[] {
+        return [...this.engineStates.values()]
             .filter(state => state.differsFromRegistry)
             .map(({ server, servableLayers, usable }) => ({
                 id: server.id,
@@ -220,12 +260,6 @@
                 layers: servableLayers,
                 lost: !usable,
             }));
-        const { registry, fleetLoad, notices, routerName: sender } = this.dependencies;
-        registry.applyNotice(servers);
-        notices.send(
-            router => ({ sender, servers, otherLoads: fleetLoad.totalExcluding(formatSocketAddress(router)) }),
-            (router, loads) => fleetLoad.recordRouterLoads(formatSocketAddress(router), loads),
-        );
     }
 
     /** Empty for a server whose accelerator kind the engine profile does not list. */
--- a/test/process/gateway/placement-loop.test.ts
+++ b/test/process/gateway/placement-loop.test.ts
@@ -156,4 +156,23 @@
         expect(control.healthChecks).not.toContain("a");
         expect(noticeOf("a")?.lost ?? false).toBe(false);
     });
+
+    // A leader that sent a notice for every other change of the registry fell behind while engines registered.
+    test("changes of the registry in quick succession are planned once and share notices", async () => {
+        const planned = jest.spyOn(ZoneLayerPlanner.prototype, "plan");
+        notices.length = 0;
+        for (let batch = 0; batch < 5; batch++) {
+            for (let count = 0; count < 20; count++) {
+                const revision = 2 + 20 * batch + count;
+                registry.put(
+                    serverEntry("a", { kind: "large", layers: { first: 0, last: 9 }, slots: revision }),
+                    revision,
+                );
+            }
+            await jest.advanceTimersByTimeAsync(200);
+        }
+        expect(planned.mock.calls.length).toBeLessThanOrEqual(10);
+        expect(notices.length).toBeLessThanOrEqual(5);
+        planned.mockRestore();
+    });
 });
