End the answer of a disconnected caller, and begin none for it

The chat handler only listened for the abort of the caller's signal, so an abort before that, during admission, was missed; and a cancelled answer ended its events neither with an end nor with an error, which the scripted stand-in of the handler's tests did, so that they passed.

Change: an answer takes the caller's signal with its request, starts nothing if it is aborted, and ends its events with CallerGoneError otherwise; Answer.cancel is gone. The own interface uses the gateway's detection and reads pending input before it begins a request. The property test of answers now demands an end or an error for disconnected callers too.

--- a/bench/answer-simulation.ts
+++ b/bench/answer-simulation.ts
@@ -84,8 +84,7 @@
     firstTokenAt: number | undefined;
     readonly tokenTimes: number[] = [];
     outOfOrder = false;
-    /** Whether the caller has disconnected. */
-    disconnected = false;
+    private readonly connection = new AbortController();
     end: AnswerEnd | undefined;
     error: PomelostallError | undefined;
     answer: Answer | undefined;
@@ -97,10 +96,23 @@
         readonly maximumTokens: number,
     ) {}
 
+    disconnect(): void {
+        this.connection.abort();
+    }
+
     start(service: PipelineAnswerService, configuration: Configuration, timeoutMilliseconds: number): void {
         const { requestId, messages, maximumTokens } = this;
         const deadline = monotonicNow() + timeoutMilliseconds;
-        const answer = service.start({ requestId, configuration, route, model, messages, maximumTokens, deadline });
+        const answer = service.start({
+            requestId,
+            configuration,
+            route,
+            model,
+            messages,
+            maximumTokens,
+            deadline,
+            callerGone: this.connection.signal,
+        });
         this.answer = answer;
         this.done = new Promise(resolve => {
             answer.events.subscribe({
--- a/bench/zone-loss.bench.ts
+++ b/bench/zone-loss.bench.ts
@@ -179,6 +179,7 @@
             messages,
             maximumTokens: answerTokens,
             deadline,
+            callerGone: new AbortController().signal,
         };
         return this.answers.start(request).events.forEach(event => {
             if (event.type === "token") {
--- a/src/errors/gateway-errors.ts
+++ b/src/errors/gateway-errors.ts
@@ -77,19 +77,3 @@
         super(invalidResponseDefinition, `The response of ${server} was discarded: ${reason}.`);
     }
 }
-
-const callerDisconnectedDefinition = defineError({
-    code: "caller-disconnected",
-    title: "The caller disconnected before its response was complete",
-    hint: "The router has cancelled the request. The decision log lines with its request ID show how far it came.",
-});
-
-/** The caller closed its connection, so that nobody waits for the response. */
-export class CallerDisconnectedError extends PomelostallError {
-    constructor(outcome: Outcome, cause?: unknown) {
-        super(callerDisconnectedDefinition, "The caller disconnected before its response was complete.", {
-            outcome,
-            cause,
-        });
-    }
-}
--- a/src/errors/index.ts
+++ b/src/errors/index.ts
@@ -1,5 +1,4 @@
 /** All error classes, one file per area. Importing this module adds every error definition to the registry. */
-export * from "./admission-errors.js";
 export * from "./booking-errors.js";
 export * from "./configuration-errors.js";
 export * from "./connection-errors.js";
--- a/src/errors/request-errors.ts
+++ b/src/errors/request-errors.ts
@@ -184,3 +184,17 @@
         });
     }
 }
+
+const callerGoneDefinition = defineError({
+    code: "caller-gone",
+    title: "The caller disconnected before its response was complete",
+    hint: "The request was cancelled; its outcome says whether it may have run. Send it again if it is still needed.",
+    status: 499,
+});
+
+/** The caller closed its connection, so that nobody waits for the response. */
+export class CallerGoneError extends PomelostallError {
+    constructor(outcome: Outcome, cause?: unknown) {
+        super(callerGoneDefinition, "The caller disconnected before its response was complete.", { outcome, cause });
+    }
+}
--- a/src/request/admission/fair-admission.ts
+++ b/src/request/admission/fair-admission.ts
@@ -5,7 +5,7 @@
 import { monotonicNow } from "../../common/clock.js";
 import type { Logger } from "../../common/logger.js";
 import type { Metrics } from "../../common/metrics.js";
-import { CallerGoneError, DeadlineUnreachableError, LimitExceededError } from "../../errors/index.js";
+import { CallerGoneError, DeadlineUnreachableError, LimitExceededError, Outcome } from "../../errors/index.js";
 import type { CustomerLimits } from "../../process/customer-limits/customer-limits.js";
 import { RateMeter } from "../../process/customer-limits/rate-meter.js";
 import type { AdaptiveTokenLimit } from "./adaptive-token-limit.js";
@@ -50,7 +50,7 @@
 
     async admit(request: AdmissionRequest): Promise<AdmissionTicket> {
         if (request.signal?.aborted) {
-            throw new CallerGoneError();
+            throw new CallerGoneError(Outcome.notRun);
         }
         const tokens = this.estimates.estimateTokens(request.route.name, request.tokens);
         this.rejectUnservable(request, tokens);
@@ -108,7 +108,7 @@
                 entry.rejectRequest(error);
                 this.admitQueued();
             };
-            const callerGone = () => abandon(new CallerGoneError());
+            const callerGone = () => abandon(new CallerGoneError(Outcome.notRun));
             const onTimeout = () => {
                 this.recordRefusal(request, "waited-too-long");
                 abandon(new DeadlineUnreachableError(1));
--- a/src/request/answer/answer-run.ts
+++ b/src/request/answer/answer-run.ts
@@ -5,10 +5,11 @@
 import { randomUUID } from "node:crypto";
 import { delay, monotonicNow } from "../../common/clock.js";
 import type { Emitter } from "../../common/streams.js";
-import type { AttemptRequest, EndFrame, TokenFrame } from "../../domain/engine-protocol.js";
+import type { EndFrame, TokenFrame } from "../../domain/engine-protocol.js";
 import { estimatePromptTokens, prefixBlockHashes } from "../../domain/prefix-blocks.js";
 import {
     AnswerFailedError,
+    CallerGoneError,
     DeadlineExceededError,
     DeadlineUnreachableError,
     NoPipelineError,
@@ -19,6 +20,7 @@
 import { backoffMilliseconds } from "../retry/backoff.js";
 import type { AnswerLengths } from "./answer-lengths.js";
 import type { AttemptFailure } from "./attempt-failure.js";
+import { createAttemptRequest } from "./attempt-request.js";
 import { type AttemptListener, AttemptRun } from "./attempt-run.js";
 import {
     emptyBudgetBackoffExponent,
@@ -70,8 +72,13 @@
     }
 
     start(): void {
-        this.dependencies.retryBudgets.forRoute(this.request.route.name, this.request.route.retryShare)
-            .recordFirstAttempt();
+        const { callerGone, route } = this.request;
+        if (callerGone.aborted) {
+            this.abandon();
+            return;
+        }
+        callerGone.addEventListener("abort", this.abandon);
+        this.dependencies.retryBudgets.forRoute(route.name, route.retryShare).recordFirstAttempt();
         this.startAttempt();
     }
 
@@ -85,7 +92,7 @@
         this.currentAttempt?.run.resume();
     }
 
-    /** Cancels all work. The observer receives no further events. */
+    /** Cancels all work without notifying the observer, which no longer observes. */
     cancel(): void {
         if (this.finished) {
             return;
@@ -95,6 +102,14 @@
         attempt?.run.cancel();
     }
 
+    /** Cancels all work for a caller that has disconnected. The observer gets a CallerGoneError, so that it ends too. */
+    private readonly abandon = (): void => {
+        const attempt = this.currentAttempt;
+        this.mayHaveRun ||= attempt !== undefined;
+        this.fail(new CallerGoneError(this.outcome));
+        attempt?.run.cancel();
+    };
+
     onToken(frame: TokenFrame): void {
         this.recordProgress();
         if (this.awaitingFirstToken) {
@@ -289,7 +304,7 @@
         const connection = connections.get(first.backendServer, first.address);
         const position = this.dependencies.recoveryStrategy === RecoveryStrategy.restart ? 0 : this.generated.length;
         const attempt = connection.startAttempt(
-            this.attemptRequest(id, choice, position, remaining),
+            createAttemptRequest(this.request, id, choice.plan, this.generated.slice(0, position), remaining),
             { freshConnection: this.attribution.hadSilentConnection(first.backendServer) },
         );
         const checker = new FrameChecker(id, plan, position, this.request.maximumTokens);
@@ -311,31 +326,6 @@
         this.checkTimeouts();
     }
 
-    private attemptRequest(
-        id: string,
-        choice: PipelineChoice,
-        position: number,
-        remaining: number,
-    ): AttemptRequest {
-        const { model, route, messages, maximumTokens, requestId } = this.request;
-        return {
-            attemptId: id,
-            planId: choice.plan.id,
-            requestId,
-            model: model.name,
-            modelVersion: model.version,
-            adapter: route.adapter,
-            stages: choice.plan.stages,
-            messages,
-            generated: this.generated.slice(0, position),
-            maximumTokens,
-            // Lower numbers run first: within one route priority, resumed answers run before new ones. Doubling the
-            // route's priority keeps a resumed answer from passing the answers of a higher-priority route.
-            priority: route.priority * 2 + (position > 0 ? 0 : 1),
-            timeoutMilliseconds: remaining,
-        };
-    }
-
     /** Applies the deadline and the stall timeout, then arms one timer for the next time that either may expire. */
     private checkTimeouts(): void {
         clearTimeout(this.watchdog);
@@ -391,6 +381,7 @@
         this.finished = true;
         clearTimeout(this.watchdog);
         this.cancellation.abort();
+        this.request.callerGone.removeEventListener("abort", this.abandon);
         this.currentAttempt?.releaseInFlight();
         this.currentAttempt = undefined;
     }
--- a/src/request/answer/pipeline-answer-service.ts
+++ b/src/request/answer/pipeline-answer-service.ts
@@ -19,7 +19,6 @@
     start(request: AnswerRequest): Answer {
         let run: AnswerRun | undefined;
         let paused = false;
-        let cancelled = false;
         const events = createStream<AnswerEvent>(emitter => {
             if (run !== undefined) {
                 emitter.fail(
@@ -34,12 +33,7 @@
             if (paused) {
                 newRun.pause();
             }
-            if (cancelled) {
-                newRun.cancel();
-            }
-            else {
-                newRun.start();
-            }
+            newRun.start();
             return () => newRun.cancel();
         });
         return {
@@ -52,10 +46,6 @@
                 paused = false;
                 run?.resume();
             },
-            cancel: () => {
-                cancelled = true;
-                run?.cancel();
-            },
         };
     }
 }
--- a/src/request/answer/types.ts
+++ b/src/request/answer/types.ts
@@ -14,6 +14,8 @@
     readonly maximumTokens: number;
     /** On the monotonic clock, in milliseconds. */
     readonly deadline: number;
+    /** Aborted when the caller disconnects, which ends the answer's events with CallerGoneError. */
+    readonly callerGone: AbortSignal;
 }
 
 export interface AnswerToken {
@@ -42,8 +44,6 @@
     /** Applies backpressure to the engine while the caller does not read; stall timeouts are suspended. */
     pause(): void;
     resume(): void;
-    /** Cancels all work, for example when the caller disconnects. */
-    cancel(): void;
 }
 
 /** Starts answers and recovers them after failures of backend servers. */
--- a/src/request/chat/chat-handler.ts
+++ b/src/request/chat/chat-handler.ts
@@ -92,14 +92,12 @@
             messages: chat.request.messages,
             maximumTokens: chat.maximumTokens,
             deadline: chat.deadline,
+            callerGone: exchange.callerGone,
         });
-        const cancel = () => answer.cancel();
-        exchange.callerGone.addEventListener("abort", cancel);
         try {
             return await this.writeAnswer(exchange, chat, answer);
         }
         finally {
-            exchange.callerGone.removeEventListener("abort", cancel);
             this.metrics.timing("pomelostall.chat.duration", monotonicNow() - exchange.startedAt);
         }
     }
--- a/src/request/gateway/gateway-handler.ts
+++ b/src/request/gateway/gateway-handler.ts
@@ -9,7 +9,7 @@
 import {
     BadRequestError,
     BodyTooLargeError,
-    CallerDisconnectedError,
+    CallerGoneError,
     ConfigurationMissingError,
     HeadersTooLargeError,
     InternalError,
@@ -20,7 +20,7 @@
     UnauthorizedError,
 } from "../../errors/index.js";
 import type { GatewayConfigurationIndex } from "../../version/gateway/gateway-configuration-index.js";
-import { watchDisconnection } from "./caller-disconnection.js";
+import { watchDisconnection } from "../http/caller-disconnection.js";
 import { CallerResponse } from "./caller-response.js";
 import type { PlainForwarder } from "./plain-forwarder.js";
 import { pollUntilDefined } from "./poll-until-defined.js";
@@ -254,7 +254,7 @@
     }
 }
 
-/** Returns undefined for a request without a body. Rejects with BodyTooLargeError or CallerDisconnectedError. */
+/** Returns undefined for a request without a body. Rejects with BodyTooLargeError or CallerGoneError. */
 async function readBody(message: IncomingMessage, maximumBytes: number): Promise<Buffer | undefined> {
     if (message.headers["content-length"] === undefined && message.headers["transfer-encoding"] === undefined) {
         return undefined;
@@ -271,7 +271,7 @@
         }
     }
     catch (error) {
-        throw error instanceof PomelostallError ? error : new CallerDisconnectedError(Outcome.notRun, error);
+        throw error instanceof PomelostallError ? error : new CallerGoneError(Outcome.notRun, error);
     }
     return Buffer.concat(chunks);
 }
--- a/src/request/gateway/plain-forwarder.ts
+++ b/src/request/gateway/plain-forwarder.ts
@@ -12,7 +12,7 @@
 import type { Dialect } from "../../domain/gateway/dialect.js";
 import type { ServerEntry } from "../../domain/gateway/server-entry.js";
 import {
-    CallerDisconnectedError,
+    CallerGoneError,
     ConnectionFailedError,
     ConnectionFailure,
     DeadlineExceededError,
@@ -108,7 +108,7 @@
                 : attempt.reason;
             const mayRetry = executions === 0 || (retryable && executions < request.route.maximumAttempts);
             if (request.callerGone.aborted) {
-                throw new CallerDisconnectedError(executions > 0 ? Outcome.unknown : Outcome.notRun);
+                throw new CallerGoneError(executions > 0 ? Outcome.unknown : Outcome.notRun);
             }
             if (!mayRetry || refusals > maximumRefusals || hasPassed(request.deadline)) {
                 return this.finishWithoutSuccess(request, serverError, executions, reason);
--- a/src/request/gateway/poll-until-defined.ts
+++ b/src/request/gateway/poll-until-defined.ts
@@ -1,6 +1,6 @@
 /** Polls for a value that is expected shortly, for at most 1 s or a small share of the caller's timeout. */
 import { delay, monotonicNow } from "../../common/clock.js";
-import { CallerDisconnectedError, Outcome } from "../../errors/index.js";
+import { CallerGoneError, Outcome } from "../../errors/index.js";
 
 /** Largest share of the caller's timeout to wait; the request is then rejected, with Retry-After if it has not run. */
 const callerTimeoutShare = 0.15;
@@ -20,7 +20,7 @@
 }
 
 /**
- * Returns the first defined result, or undefined once the limit has passed. Rejects with CallerDisconnectedError once
+ * Returns the first defined result, or undefined once the limit has passed. Rejects with CallerGoneError once
  * the caller has disconnected.
  */
 export async function pollUntilDefined<Value>(
@@ -30,7 +30,7 @@
     const waitEnd = since + Math.min(maximumWaitMilliseconds, callerTimeoutMilliseconds * callerTimeoutShare);
     for (;;) {
         if (callerGone.aborted) {
-            throw new CallerDisconnectedError(Outcome.unknown);
+            throw new CallerGoneError(Outcome.unknown);
         }
         const value = poll();
         if (value !== undefined || monotonicNow() >= waitEnd) {
--- a/src/request/gateway/stream-request-handler.ts
+++ b/src/request/gateway/stream-request-handler.ts
@@ -7,7 +7,7 @@
 import type { Dialect } from "../../domain/gateway/dialect.js";
 import { formatSocketAddress } from "../../domain/gateway/server-entry.js";
 import {
-    CallerDisconnectedError,
+    CallerGoneError,
     DeadlineExceededError,
     ExchangeFailedError,
     NoServerAvailableError,
@@ -71,7 +71,7 @@
             const { result, path } = await this.attempt(chosenPath);
             this.log(path, result, startedAt);
             if (this.request.callerGone.aborted) {
-                throw new CallerDisconnectedError(this.outcome(result));
+                throw new CallerGoneError(this.outcome(result));
             }
             if (result.end === AttemptEnd.complete) {
                 path.parts.forEach(({ server }) => this.dependencies.exclusions.recordSuccess(server.id));
--- a/src/request/http/caller-handler.ts
+++ b/src/request/http/caller-handler.ts
@@ -2,12 +2,21 @@
 import { randomUUID } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { monotonicNow } from "../../common/clock.js";
+import { afterPendingInput } from "../../common/event-loop.js";
 import type { Logger } from "../../common/logger.js";
 import type { Metrics } from "../../common/metrics.js";
 import type { Configuration, ConfigurationSource } from "../../domain/configuration.js";
-import { BadRequestError, NotFoundError, type PomelostallError, RouterDrainingError } from "../../errors/index.js";
+import {
+    BadRequestError,
+    CallerGoneError,
+    NotFoundError,
+    Outcome,
+    type PomelostallError,
+    RouterDrainingError,
+} from "../../errors/index.js";
 import type { DrainController } from "../../process/drain/drain-controller.js";
 import { CustomerDirectory } from "../../version/customer-directory.js";
+import { watchDisconnection } from "./caller-disconnection.js";
 import { sendError, sendJson, toPomelostallError } from "./json-responses.js";
 import type { CallerExchange } from "./types.js";
 
@@ -86,12 +95,11 @@
         }
         const configuration = this.configurations.current;
         const customer = this.directoryFor(configuration).authenticate(request.headers.authorization);
-        const callerGone = new AbortController();
-        response.once("close", () => {
-            if (!response.writableFinished) {
-                callerGone.abort();
-            }
-        });
+        const callerGone = watchDisconnection(request, response);
+        await new Promise<void>(afterPendingInput);
+        if (callerGone.aborted) {
+            throw new CallerGoneError(Outcome.notRun);
+        }
         await this.dispatch({
             request,
             response,
@@ -99,7 +107,7 @@
             configuration,
             customer,
             startedAt,
-            callerGone: callerGone.signal,
+            callerGone,
         }, path);
     }
 
--- a/test/request/answer/answer-invariants.test.ts
+++ b/test/request/answer/answer-invariants.test.ts
@@ -109,8 +109,7 @@
         case "caller-resume":
             return caller.answer!.resume();
         case "caller-gone":
-            caller.disconnected = true;
-            return caller.answer!.cancel();
+            return caller.disconnect();
         default:
             return setFrameFaults(engine, kind, world);
     }
@@ -140,7 +139,7 @@
 function checkInvariants(world: AnswerSimulation, startedCallers: readonly SimulatedCaller[]): void {
     for (const caller of startedCallers) {
         expect(caller.intact).toBe(true);
-        expect(caller.end !== undefined || caller.error !== undefined || caller.disconnected).toBe(true);
+        expect(caller.end !== undefined || caller.error !== undefined).toBe(true);
         checkLayerRuns(world, caller);
         if (caller.error?.outcome === "not-run") {
             expect([...world.engines.values()].some(engine => engine.record.hasRunRequest(caller.requestId))).toBe(
--- a/test/request/answer/fakes.ts
+++ b/test/request/answer/fakes.ts
@@ -181,6 +181,7 @@
     end: AnswerEvent | undefined;
     error: PomelostallError | undefined;
     readonly answer: Answer;
+    private readonly connection = new AbortController();
 
     constructor(harness: AnswerHarness, overrides: Partial<AnswerRequest> = {}) {
         this.answer = new PipelineAnswerService(harness.dependencies).start({
@@ -191,6 +192,7 @@
             messages: [{ role: "user", content: "hello" }],
             maximumTokens: 50,
             deadline: performance.now() + 10_000,
+            callerGone: this.connection.signal,
             ...overrides,
         });
         this.answer.events.subscribe({
@@ -209,4 +211,8 @@
             complete: () => undefined,
         });
     }
+
+    disconnect(): void {
+        this.connection.abort();
+    }
 }
--- a/test/request/answer/pipeline-answer-service.test.ts
+++ b/test/request/answer/pipeline-answer-service.test.ts
@@ -157,11 +157,13 @@
 
     test("cancels all work when the caller disconnects, also during recovery", async () => {
         const caller = new RecordingCaller(harness);
-        caller.answer.cancel();
+        caller.disconnect();
         expect(harness.lastAttempt.cancelled).toBe(true);
+        await advanceTime();
+        expect(caller.error).toMatchObject({ code: "caller-gone", outcome: "failed" });
         const recoveringCaller = new RecordingCaller(harness);
         harness.lastAttempt.break("silent", true);
-        recoveringCaller.answer.cancel();
+        recoveringCaller.disconnect();
         await advanceTime(5_000);
         expect(harness.attempts).toHaveLength(2);
         expect(harness.inFlight).toBe(0);
--- a/test/request/http/caller-fixture.ts
+++ b/test/request/http/caller-fixture.ts
@@ -6,6 +6,7 @@
 import { SilentMetrics } from "../../../src/common/metrics.js";
 import { createStream, type Emitter } from "../../../src/common/streams.js";
 import type { Configuration, ConfigurationSource } from "../../../src/domain/configuration.js";
+import { CallerGoneError, Outcome } from "../../../src/errors/index.js";
 import { DrainController } from "../../../src/process/drain/drain-controller.js";
 import type { Admission } from "../../../src/request/admission/types.js";
 import type { Answer, AnswerEvent, AnswerRequest, AnswerService } from "../../../src/request/answer/types.js";
@@ -63,9 +64,11 @@
     pauses = 0;
     resumes = 0;
     cancelled = false;
-    private emitter: Emitter<AnswerEvent> | undefined;
     readonly events = createStream<AnswerEvent>(emitter => {
-        this.emitter = emitter;
+        this.request.callerGone.addEventListener("abort", () => {
+            this.cancelled = true;
+            emitter.fail(new CallerGoneError(Outcome.failed));
+        });
         this.script(emitter, this);
         return () => undefined;
     });
@@ -82,11 +85,6 @@
     resume(): void {
         this.resumes++;
     }
-
-    cancel(): void {
-        this.cancelled = true;
-        this.emitter?.complete();
-    }
 }
 
 export type AnswerScript = (emitter: Emitter<AnswerEvent>, answer: ScriptedAnswer) => void;
