Close error responses, comments and interim responses of a backend server that never end

Callers of a stream waited for their stall timeout, and the router's memory grew meanwhile, when a server in trouble sent bytes that are no answer: the body of an error response to a stream was collected without a limit; comments and empty lines counted as events, so that they were forwarded to the caller and kept the stall detector quiet for the whole deadline; interim responses (1xx) were read until the deadline; and an unterminated event was searched anew from its start with each chunk.

Change: error bodies of streams are limited to 1 MB, interim responses to 8, the head to 16 KB. A response over a limit is closed and handled like any broken one.

--- a/src/common/json-line-splitter.ts
+++ b/src/common/json-line-splitter.ts
@@ -1,10 +1,17 @@
-/** Splits a byte stream of newline-delimited JSON into lines of UTF-8 text. Lines may have any length. */
+/** Splits a byte stream of newline-delimited JSON into lines of UTF-8 text. */
+import { ResponseTooLargeError } from "../errors/index.js";
+
 const newline = 0x0a;
+/** Fits a read of every value of a large fleet. */
+const maximumLineBytes = 64_000_000;
 
 export class JsonLineSplitter {
     private partialLine: Buffer = Buffer.alloc(0);
 
-    /** Adds a chunk and returns the lines that it completes, without their newlines. Blank lines are skipped. */
+    /**
+     * Adds a chunk and returns the lines that it completes, without their newlines. Blank lines are skipped. Throws
+     * ResponseTooLargeError if the last line is longer than any message and still incomplete.
+     */
     push(chunk: Uint8Array): string[] {
         const data = this.partialLine.length === 0 ? Buffer.from(chunk) : Buffer.concat([this.partialLine, chunk]);
         const lines: string[] = [];
@@ -17,6 +24,9 @@
             start = end + 1;
         }
         this.partialLine = data.subarray(start);
+        if (this.partialLine.length > maximumLineBytes) {
+            throw new ResponseTooLargeError(maximumLineBytes);
+        }
         return lines;
     }
 }
--- a/src/common/read-bounded-text.ts
+++ b/src/common/read-bounded-text.ts
@@ -1,20 +1,19 @@
-/** Reads the body of an HTTP message from another router. */
-import type { IncomingMessage } from "node:http";
-import { BodyTooLargeError } from "../../errors/index.js";
+/** Reads the body of an HTTP message from another process, which may send bytes without end. */
+import { ResponseTooLargeError } from "../errors/index.js";
 
-/** Fits a store snapshot: the configuration of 1 MB and some hundred small values, all base64-encoded. */
-const maximumBytes = 4_000_000;
-
-/** Rejects with BodyTooLargeError above the maximum size, or with the connection's error. */
-export async function readBodyText(message: IncomingMessage): Promise<string> {
+/**
+ * Decodes the chunks as UTF-8. Rejects with ResponseTooLargeError above the maximum size, which closes a stream's
+ * connection, or with the error of the stream.
+ */
+export async function readBoundedText(stream: AsyncIterable<unknown>, maximumBytes: number): Promise<string> {
     const chunks: Buffer[] = [];
     let receivedBytes = 0;
-    for await (const chunk of message) {
-        receivedBytes += (chunk as Buffer).length;
+    for await (const chunk of stream as AsyncIterable<Buffer>) {
+        receivedBytes += chunk.length;
         if (receivedBytes > maximumBytes) {
-            throw new BodyTooLargeError(maximumBytes);
+            throw new ResponseTooLargeError(maximumBytes);
         }
-        chunks.push(chunk as Buffer);
+        chunks.push(chunk);
     }
     return Buffer.concat(chunks).toString("utf8");
 }
--- a/src/connection/backend-server/http-connection.ts
+++ b/src/connection/backend-server/http-connection.ts
@@ -5,6 +5,7 @@
 import type { Logger } from "../../common/logger.js";
 import type { Metrics } from "../../common/metrics.js";
 import { type RandomSource, SystemRandom } from "../../common/random.js";
+import { readBoundedText } from "../../common/read-bounded-text.js";
 import { createStream, type Emitter } from "../../common/streams.js";
 import type { Attempt, AttemptOptions, BackendServerConnection } from "../../domain/backend-connection.js";
 import {
@@ -24,6 +25,8 @@
 const unauthorizedStatus = 401;
 /** Number of silence checks within one silence timeout. */
 const checksPerSilenceTimeout = 5;
+/** Limits the memory that one order reply or holdings report takes. */
+const maximumResponseBytes = 1_000_000;
 const cancelTimeoutMilliseconds = 1_000;
 const jsonHeaders = { "content-type": "application/json" } as const;
 
@@ -209,7 +212,7 @@
         const timer = setTimeout(() => abortController.abort(), timeoutMilliseconds);
         try {
             const response = await this.pool.request({ ...options, signal: abortController.signal });
-            return { status: response.statusCode, text: await response.body.text() };
+            return { status: response.statusCode, text: await readBoundedText(response.body, maximumResponseBytes) };
         }
         catch (error) {
             const failure = this.toConnectionError(error, abortController.signal.aborted);
--- a/src/connection/gateway/exchange.ts
+++ b/src/connection/gateway/exchange.ts
@@ -48,11 +48,17 @@
     failed(error: ConnectionFailedError): void;
 }
 
+/** Of a response, in which servers repeat some headers of the request. Also the runtime's default. */
+const maximumHeadBytes = 16_384;
+/** Interim responses (status 1xx) precede the response itself; a server needs none or one. */
+const maximumInterimResponses = 8;
+
 export class Exchange {
     private request: ClientRequest | undefined;
     private connectTimer: ReturnType<typeof setTimeout> | undefined;
     private deadlineTimer: ReturnType<typeof setTimeout> | undefined;
     private response: IncomingMessage | undefined;
+    private interimResponses = 0;
     private connected = false;
     private finished = false;
     private readonly abort = () => this.fail(ConnectionFailure.cancelled);
@@ -123,6 +129,7 @@
             method: content.method,
             path: content.path,
             headers: content.headers(),
+            maxHeaderSize: maximumHeadBytes,
         });
         this.request.on("socket", socket => {
             socket.setNoDelay(true);
@@ -131,6 +138,11 @@
                 clearTimeout(this.connectTimer);
             });
         });
+        this.request.on("information", () => {
+            if (++this.interimResponses > maximumInterimResponses) {
+                this.fail(ConnectionFailure.protocol);
+            }
+        });
         this.request.on("response", response => this.handleResponse(response));
         this.request.on("error", error => {
             if (this.response?.complete !== true) {
--- a/src/connection/gateway/peer-request.ts
+++ b/src/connection/gateway/peer-request.ts
@@ -1,8 +1,8 @@
 /** Sends HTTP requests to other routers, with a limit on the time of the whole call and on the size of the response. */
 import { Agent, type ClientRequest, request as sendRequest } from "node:http";
+import { readBoundedText } from "../../common/read-bounded-text.js";
 import { formatSocketAddress, type SocketAddress } from "../../domain/gateway/server-entry.js";
 import { PeerUnreachableError } from "../../errors/index.js";
-import { readBodyText } from "./read-body-text.js";
 
 export interface PeerRequest {
     readonly method: "GET" | "POST";
@@ -18,6 +18,8 @@
     readonly text: string;
 }
 
+/** Fits a store snapshot: the configuration of 1 MB and some hundred small values, all base64-encoded. */
+export const maximumPeerMessageBytes = 4_000_000;
 /** The placement leader calls every router twice a second; a connection for each call would cost it half as much again. */
 const agent = new Agent({ keepAlive: true, maxFreeSockets: 1 });
 
@@ -55,7 +57,10 @@
     return new Promise((resolve, reject) => {
         request.on("error", reject);
         request.on("response", response => {
-            readBodyText(response).then(text => resolve({ status: response.statusCode ?? 0, text }), reject);
+            readBoundedText(response, maximumPeerMessageBytes).then(
+                text => resolve({ status: response.statusCode ?? 0, text }),
+                reject,
+            );
         });
         request.end(body);
     });
--- a/src/connection/gateway/peer-server.ts
+++ b/src/connection/gateway/peer-server.ts
@@ -4,13 +4,14 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Logger } from "../../common/logger.js";
+import { readBoundedText } from "../../common/read-bounded-text.js";
 import type { LeadershipOffer } from "../../domain/gateway/leadership-offer.js";
 import type { PlacementNotice, ServerLoads } from "../../domain/gateway/placement-notice.js";
 import type { StoreSnapshot } from "../../domain/gateway/store-snapshot.js";
 import { decodeOffer, offerPath } from "./peer-leadership.js";
 import { decodeNotice, encodeLoads, noticePath } from "./peer-notices.js";
+import { maximumPeerMessageBytes } from "./peer-request.js";
 import { afterRevisionParameter, encodeSnapshot, snapshotPath } from "./peer-snapshots.js";
-import { readBodyText } from "./read-body-text.js";
 
 export interface PeerServerOptions {
     /** Applies a notice; returns the load that this router itself has placed on each backend server. */
@@ -46,7 +47,7 @@
     options: PeerServerOptions,
 ): Promise<void> {
     try {
-        const notice = decodeNotice(await readBodyText(message));
+        const notice = decodeNotice(await readBoundedText(message, maximumPeerMessageBytes));
         sendJson(response, encodeLoads(options.receiveNotice(notice)));
     }
     catch (error) {
@@ -61,7 +62,10 @@
     options: PeerServerOptions,
 ): Promise<void> {
     try {
-        sendStatus(response, options.acceptLeadership(decodeOffer(await readBodyText(message))) ? 204 : 409);
+        sendStatus(
+            response,
+            options.acceptLeadership(decodeOffer(await readBoundedText(message, maximumPeerMessageBytes))) ? 204 : 409,
+        );
     }
     catch (error) {
         options.logger.warn("placement leadership offer from a router is invalid; responding with 400", {
--- a/src/errors/connection-errors.ts
+++ b/src/errors/connection-errors.ts
@@ -35,3 +35,16 @@
         super(connectionFailedDefinition, `The connection to ${backendServer} failed: ${failure}.`, { cause });
     }
 }
+
+const responseTooLargeDefinition = defineError({
+    code: "response-too-large",
+    title: "Another process sent more bytes than the router reads",
+    hint: "The router has closed the connection. If it happens again, check the process that the log line names.",
+});
+
+/** A message from another process exceeds the limit of its kind. */
+export class ResponseTooLargeError extends PomelostallError {
+    constructor(maximumBytes: number) {
+        super(responseTooLargeDefinition, `The message exceeds ${maximumBytes} bytes.`);
+    }
+}
--- a/src/process/platform/http-platform-client.ts
+++ b/src/process/platform/http-platform-client.ts
@@ -1,9 +1,12 @@
 /** HTTP client of the platform's services, with timeouts and failover to the next address after a failure. */
 import { Agent, request } from "undici";
+import { readBoundedText } from "../../common/read-bounded-text.js";
 import { PlatformUnavailableError } from "../../errors/index.js";
 
 const maximumConnections = 16;
 const connectTimeoutMilliseconds = 1_000;
+/** Fits a read of every value of a large fleet. */
+const maximumResponseBytes = 64_000_000;
 
 /** A response of the platform with its parsed JSON body. */
 export interface PlatformResponse {
@@ -39,7 +42,7 @@
         const timer = setTimeout(() => controller.abort(), timeoutMilliseconds);
         try {
             const response = await this.send(path, body, controller.signal);
-            const parsed: unknown = await response.body.json();
+            const parsed: unknown = JSON.parse(await readBoundedText(response.body, maximumResponseBytes));
             if (response.statusCode >= 500) {
                 throw new PlatformUnavailableError(
                     `The platform answered with status ${response.statusCode}.`,
--- a/src/request/gateway/stream-attempt.ts
+++ b/src/request/gateway/stream-attempt.ts
@@ -46,11 +46,15 @@
     streamStarted(head: ResponseHead): void;
     /** Returns false if the event is not the successor of the last one, which ends the attempt as broken. */
     deliver(event: CompleteEvent): boolean;
+    /** Called when the stream is complete, with the bytes after the last event. */
+    streamEnded(rest: Buffer): void;
 }
 
 /** Connecting takes one round trip; a longer time means a lost packet, a full accept queue or a lost server. */
 const connectTimeoutMilliseconds = 300;
 const lowestErrorStatus = 400;
+/** An error response is buffered, so that another attempt can replace it. */
+const maximumErrorBodyBytes = 1_000_000;
 
 export class StreamAttempt {
     private readonly splitter = new EventSplitter();
@@ -58,6 +62,7 @@
     private resolveResult!: (result: AttemptResult) => void;
     private head: ResponseHead | undefined;
     private readonly errorBody: Buffer[] = [];
+    private errorBodyBytes = 0;
     /** Resolves once, however the attempt ends; never rejects. */
     readonly result: Promise<AttemptResult> = new Promise(resolve => {
         this.resolveResult = resolve;
@@ -109,6 +114,10 @@
     private handleChunk(chunk: Buffer): void {
         if (this.head!.status >= lowestErrorStatus) {
             this.errorBody.push(chunk);
+            this.errorBodyBytes += chunk.length;
+            if (this.errorBodyBytes > maximumErrorBodyBytes) {
+                this.finish({ end: AttemptEnd.broken, reason: "error response exceeds the maximum size" });
+            }
             return;
         }
         for (const event of this.splitter.push(chunk)) {
@@ -134,6 +143,7 @@
             this.finish({ end: AttemptEnd.broken, reason: "response ended inside an event" });
         }
         else {
+            this.observer.streamEnded(this.splitter.takeRest());
             this.finish({ end: AttemptEnd.complete, reason: "complete" });
         }
     }
--- a/src/request/gateway/stream-progress.ts
+++ b/src/request/gateway/stream-progress.ts
@@ -63,6 +63,12 @@
         return true;
     }
 
+    streamEnded(rest: Buffer): void {
+        if (rest.length > 0) {
+            this.response.write(rest);
+        }
+    }
+
     private recordEventTime(): void {
         const now = monotonicNow();
         this.firstDeliveredAt ??= now;
--- a/test/platform/stand-ins/backend-server.ts
+++ b/test/platform/stand-ins/backend-server.ts
@@ -16,6 +16,13 @@
     | "other-id"
     /** Declares its body as gzip-compressed. */
     | "encoded"
+    /** These send bytes without end, which are no answer, until the connection is closed. */
+    | "endless-head"
+    | "endless-interim-responses"
+    | "endless-body"
+    | "endless-error-body"
+    | "endless-comments"
+    | "endless-event"
     /** Breaks off every stream. */
     | "break-stream"
     /** Breaks off streams that start at the first event; resumed streams are complete. */
@@ -30,6 +37,22 @@
 
 const eventsInStream = 10;
 
+interface EndlessUnit {
+    readonly start: string;
+    readonly unit: string;
+}
+
+const chunkedHead = (status: string) => `HTTP/1.1 ${status}\r\nPROOFTransfer-Encoding: chunked\r\n\r\n`;
+const chunk = (text: string) => `${text.length.toString(16)}\r\n${text}\r\n`;
+const endlessUnits: Partial<Record<Behavior, EndlessUnit>> = {
+    "endless-head": { start: "HTTP/1.1 200 OK\r\n", unit: "X-More: 1\r\n" },
+    "endless-interim-responses": { start: "", unit: "HTTP/1.1 102 Processing\r\n\r\n" },
+    "endless-body": { start: chunkedHead("200 OK"), unit: chunk("x".repeat(1_000)) },
+    "endless-error-body": { start: chunkedHead("500 Internal Server Error"), unit: chunk("x".repeat(1_000)) },
+    "endless-comments": { start: chunkedHead("200 OK"), unit: chunk(": waiting\n\n\n\n") },
+    "endless-event": { start: chunkedHead("200 OK"), unit: chunk("id: 1\ndata: x") },
+};
+
 export class StandInBackendServer {
     behavior: Behavior = "answer";
     readonly received: ReceivedRequest[] = [];
@@ -38,6 +61,11 @@
     /** Number of requests whose connection closed before the response was complete. */
     abortedRequests = 0;
     eventMilliseconds = 2;
+    /** Open connections on which bytes are sent without end. */
+    endlessConnections = 0;
+    endlessBytes = 0;
+    /** Sends the behavior's endless bytes also as reports and health answers. */
+    endlessControl = false;
     /** Fails health checks and refuses requests while the registration still says `ready`. */
     leaving = false;
     private acceptedOrders = 0;
@@ -84,6 +112,10 @@
             chunks.push(chunk as Buffer);
         }
         const body = Buffer.concat(chunks).toString();
+        if (this.endlessControl && (request.url === "/report" || request.url === "/health")) {
+            this.sendWithoutEnd(request, endlessUnits[this.behavior]!);
+            return;
+        }
         if (request.url === "/report") {
             const report = { busy: false, seq: this.acceptedOrders, born: 1, layers: this.layers };
             response.end(JSON.stringify(report));
@@ -118,6 +150,11 @@
     }
 
     private async sendResponse(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const unit = endlessUnits[this.behavior];
+        if (unit !== undefined) {
+            this.sendWithoutEnd(request, unit);
+            return;
+        }
         const id = request.headers["x-attempt-id"] as string;
         const headers: Record<string, string> = { "X-Attempt-Id": id, "X-Replica-Seal": `seal-${this.id}` };
         switch (this.leaving ? "refuse" : this.behavior) {
@@ -156,6 +193,23 @@
         await this.stream(request, response, headers);
     }
 
+    /** Sends the start and then repeats the unit as fast as the connection takes it. */
+    private sendWithoutEnd({ socket, headers }: IncomingMessage, { start, unit }: EndlessUnit): void {
+        const proof = `X-Attempt-Id: ${String(headers["x-attempt-id"])}\r\nX-Replica-Seal: seal-${this.id}\r\n`;
+        const block = Buffer.from(unit.repeat(Math.ceil(16_384 / unit.length)));
+        const send = () => {
+            do {
+                this.endlessBytes += block.length;
+            }
+            while (!socket.destroyed && socket.write(block));
+        };
+        this.endlessConnections++;
+        socket.on("close", () => this.endlessConnections--);
+        socket.on("drain", send);
+        socket.write(start.replace("PROOF", proof));
+        send();
+    }
+
     private async stream(
         request: IncomingMessage,
         response: ServerResponse,
--- a/test/request/gateway/event-splitter.test.ts
+++ b/test/request/gateway/event-splitter.test.ts
@@ -27,6 +27,19 @@
         );
     });
 
+    test("keeps blocks without data or ID with the next event, and limits their size", () => {
+        const splitter = new EventSplitter();
+        expect(splitter.push(Buffer.from(": waiting\n\n\n\n"))).toEqual([]);
+        expect(splitter.hasIncompleteEvent).toBe(false);
+        const [event] = splitter.push(Buffer.from("id: 1\ndata: x\n\n: bye\n\n"));
+        expect(event!.bytes.toString()).toBe(": waiting\n\n\n\nid: 1\ndata: x\n\n");
+        expect(splitter.takeRest().toString()).toBe(": bye\n\n");
+        for (let count = 0; count < 6_000; count++) {
+            splitter.push(Buffer.from(": waiting\n\n"));
+        }
+        expect(splitter.exceedsMaximumSize).toBe(true);
+    });
+
     test("buffers an event until its terminating empty line arrives", () => {
         const splitter = new EventSplitter();
         expect(splitter.push(Buffer.from("id: 1\ndata: x\n"))).toEqual([]);
