--- a/test/platform/stand-ins/backend-server.ts
+++ b/test/platform/stand-ins/backend-server.ts
@@ -33,6 +33,10 @@
     readonly url: string;
     readonly headers: IncomingMessage["headers"];
     readonly body: string;
+    /** Monotonic time in milliseconds. */
+    readonly receivedAt: number;
+    /** Monotonic time at which the response was complete or its connection closed; undefined before. */
+    endedAt: number | undefined;
 }
 
 const eventsInStream = 10;
@@ -129,8 +133,17 @@
             this.handleOrder(JSON.parse(body) as Record<string, unknown>, response);
             return;
         }
-        this.received.push({ method: request.method!, url: request.url!, headers: request.headers, body });
+        const received: ReceivedRequest = {
+            method: request.method!,
+            url: request.url!,
+            headers: request.headers,
+            body,
+            receivedAt: performance.now(),
+            endedAt: undefined,
+        };
+        this.received.push(received);
         response.on("close", () => {
+            received.endedAt = performance.now();
             this.abortedRequests += response.writableFinished ? 0 : 1;
         });
         await this.sendResponse(request, response);
