Guard each half of the early notice of disconnections with a test that fails without it

The tests of the fix passed with either half taken out, since the other half cancels the attempt in time on a fast event loop: they counted requests, and an attempt that is cancelled while it connects sends none.

--- a/test/platform/stand-ins/backend-server.ts
+++ b/test/platform/stand-ins/backend-server.ts
@@ -60,6 +60,7 @@
 export class StandInBackendServer {
     behavior: Behavior = "answer";
     readonly received: ReceivedRequest[] = [];
+    connections = 0;
     readonly orders: Record<string, unknown>[] = [];
     layers: { from: number; target: number; } | undefined;
     /** Number of requests whose connection closed before the response was complete. */
@@ -79,6 +80,7 @@
     constructor(readonly id: string, readonly service: string, readonly zone = "north") {}
 
     async start(): Promise<void> {
+        this.server.on("connection", () => this.connections++);
         await new Promise<void>(resolve => this.server.listen(0, "127.0.0.1", resolve));
         this.port = (this.server.address() as AddressInfo).port;
     }
