Hold back the head of a stream until its first event

Callers saw a 200 whose connection was closed without an event, where the request could have been answered with an error. Cause: the head of the first attempt was sent to the caller as soon as it arrived, which commits the response before anything is known about the run. The head now waits for the first event of its attempt, so that the error of a request without events is a complete response, and the head always belongs to the run whose events follow.

--- a/src/request/gateway/stream-progress.ts
+++ b/src/request/gateway/stream-progress.ts
@@ -1,6 +1,7 @@
 /**
- * Tracks what the caller has received of a stream over all attempts: the response head of the first attempt, and events
- * in order without gaps or duplicates.
+ * Tracks what the caller has received of a stream over all attempts: the head of the response that delivered the first
+ * event, and events in order without gaps or duplicates. The head is held back until there is an event to send, so that
+ * a request whose attempts all end before that is answered with an error instead of a truncated stream.
  */
 import { monotonicNow } from "../../common/clock.js";
 import type { ResponseHead } from "../../connection/gateway/exchange.js";
@@ -12,6 +13,8 @@
 export class StreamProgress implements AttemptObserver {
     private attempt: StreamAttempt | undefined;
     private stallDetector: StallDetector | undefined;
+    /** Head of the current attempt's response; undefined before it has arrived. */
+    private head: ResponseHead | undefined;
     private lastId: string | undefined;
     private firstDeliveredAt: number | undefined;
     private lastDeliveredAt: number | undefined;
@@ -45,9 +48,7 @@
     }
 
     streamStarted(head: ResponseHead): void {
-        if (!this.response.started) {
-            this.response.beginStream(head);
-        }
+        this.head = head;
     }
 
     deliver(event: CompleteEvent): boolean {
@@ -56,6 +57,7 @@
         }
         this.lastId = event.id ?? this.lastId;
         this.recordEventTime();
+        this.beginResponse();
         this.stallDetector?.recordProgress();
         if (!this.response.write(event.bytes)) {
             this.pauseUntilDrained();
@@ -64,11 +66,18 @@
     }
 
     streamEnded(rest: Buffer): void {
+        this.beginResponse();
         if (rest.length > 0) {
             this.response.write(rest);
         }
     }
 
+    private beginResponse(): void {
+        if (!this.response.started) {
+            this.response.beginStream(this.head!);
+        }
+    }
+
     private recordEventTime(): void {
         const now = monotonicNow();
         this.firstDeliveredAt ??= now;
--- a/test/platform/gateway.test.ts
+++ b/test/platform/gateway.test.ts
@@ -238,6 +238,28 @@
         expect(completeStream.startsWith(response.body)).toBe(true);
     });
 
+    test("that break off before their first event are answered with an error, not with a closed connection", async () => {
+        await startWithEngines();
+        fixture.servers.forEach(server => {
+            server.behavior = "break-after-head";
+        });
+        const response = await fixture.send("POST", "/report-text/1", headers, "prompt");
+        expect(response).toMatchObject({ status: 502, complete: true });
+        expect(response.headers["x-replica-seal"]).toBeUndefined();
+    });
+
+    test("carry the head of the server that sent their first event", async () => {
+        await startWithEngines();
+        await fixture.send("POST", "/report-text/1", headers, "prompt");
+        const broken = fixture.servers.find(({ received }) => received.length > 0)!;
+        broken.behavior = "break-after-head";
+        const response = await fixture.send("POST", "/report-text/1", headers, "prompt");
+        expect(response).toMatchObject({ status: 200, complete: true, body: completeStream });
+        expect(broken.received).toHaveLength(2);
+        const other = fixture.servers.find(({ received }) => received.length === 1)!;
+        expect(response.headers["x-replica-seal"]).toBe(`seal-${other.id}`);
+    });
+
     test("are cancelled on the backend server when the caller disconnects", async () => {
         await startWithEngines();
         fixture.servers.forEach(server => {
--- a/test/platform/stand-ins/backend-server.ts
+++ b/test/platform/stand-ins/backend-server.ts
@@ -23,6 +23,8 @@
     | "endless-error-body"
     | "endless-comments"
     | "endless-event"
+    /** Breaks off every stream after its head, before the first event. */
+    | "break-after-head"
     /** Breaks off every stream. */
     | "break-stream"
     /** Breaks off streams that start at the first event; resumed streams are complete. */
@@ -231,6 +233,11 @@
         headers: Record<string, string>,
     ): Promise<void> {
         response.writeHead(200, { ...headers, "Content-Type": "text/event-stream" });
+        if (this.behavior === "break-after-head") {
+            response.flushHeaders();
+            setTimeout(() => response.destroy(), 5);
+            return;
+        }
         const first = Number(request.headers["last-event-id"] ?? 0) + 1;
         for (let id = first; id <= eventsInStream; id++) {
             const breaks = this.behavior === "break-stream" || (this.behavior === "break-first-run" && first === 1);
