Fail an exchange that the runtime refuses to send instead of ending the process

Callers saw every request on a router end at once: one registry entry with the address 10.0.0.1:99999 was chosen as a server, the runtime's request function threw ERR_SOCKET_BAD_PORT, and the exchange called it in a callback of the event loop, where nothing caught the exception.

Exchange.send now turns an exception of the request function, which is thrown before a connection is opened, into the failure "unsendable" with no byte written. So plain and streamed requests, reports, health checks and orders end on the normal path and another server is tried. The failure says nothing about the servers, so it excludes none: else one customer whose name cannot be a header value could exclude all of them. The listener is called after the constructor has returned, since it may use the exchange.

Evidence: before the change the test with a port out of range failed with "RangeError: Port should be >= 0 and < 65536. Received type number (99999)." from Immediate.sendIfWanted; the cases with a line break in a header and a control character in the path failed with the runtime's TypeError.

--- a/src/connection/gateway/exchange.ts
+++ b/src/connection/gateway/exchange.ts
@@ -122,15 +122,22 @@
             () => this.fail(this.connected ? ConnectionFailure.silent : ConnectionFailure.expired),
             options.deadline - monotonicNow(),
         );
-        this.request = sendRequest({
-            agent: false,
-            host: server.address.host,
-            port: server.address.port,
-            method: content.method,
-            path: content.path,
-            headers: content.headers(),
-            maxHeaderSize: maximumHeadBytes,
-        });
+        try {
+            this.request = sendRequest({
+                agent: false,
+                host: server.address.host,
+                port: server.address.port,
+                method: content.method,
+                path: content.path,
+                headers: content.headers(),
+                maxHeaderSize: maximumHeadBytes,
+            });
+        }
+        catch (error) {
+            // Thrown before a connection is opened. The listener may use the exchange, which the constructor returns first.
+            queueMicrotask(() => this.fail(ConnectionFailure.unsendable, error));
+            return;
+        }
         this.request.on("socket", socket => {
             socket.setNoDelay(true);
             socket.once("connect", () => {
--- a/src/errors/connection-errors.ts
+++ b/src/errors/connection-errors.ts
@@ -20,6 +20,8 @@
     cancelled: "cancelled",
     /** The deadline passed before a connection was open. */
     expired: "expired",
+    /** The runtime refused the request, for a character in it or for the address, so no connection was opened. */
+    unsendable: "unsendable",
 } as const;
 export type ConnectionFailure = typeof ConnectionFailure[keyof typeof ConnectionFailure];
 
@@ -34,6 +36,12 @@
     ) {
         super(connectionFailedDefinition, `The connection to ${backendServer} failed: ${failure}.`, { cause });
     }
+
+    /** The failure for the log; with its cause if only the cause says what is wrong. */
+    get reason(): string {
+        const detail = this.failure === ConnectionFailure.unsendable ? `: ${String(this.cause)}` : "";
+        return `connection ${this.failure}${detail}`;
+    }
 }
 
 const responseTooLargeDefinition = defineError({
--- a/src/request/gateway/plain-forwarder.ts
+++ b/src/request/gateway/plain-forwarder.ts
@@ -66,6 +66,7 @@
 const gatewayFailures: ReadonlySet<ConnectionFailure> = new Set([
     ConnectionFailure.cancelled,
     ConnectionFailure.expired,
+    ConnectionFailure.unsendable,
 ]);
 
 export class PlainForwarder {
@@ -147,7 +148,7 @@
             const verdict = error.bytesWritten ? ResponseVerdict.invalid : ResponseVerdict.notRun;
             attempt = {
                 verdict,
-                reason: `connection ${error.failure}`,
+                reason: error.reason,
                 endedByGateway: gatewayFailures.has(error.failure),
             };
         }
--- a/src/request/gateway/stream-attempt.ts
+++ b/src/request/gateway/stream-attempt.ts
@@ -37,6 +37,8 @@
     readonly head?: ResponseHead;
     /** Body of an error response, if `end` is `failure`. */
     readonly body?: Buffer;
+    /** Whether the runtime refused to send the request, which says nothing about the servers of the path. */
+    readonly unsendable?: boolean;
     /** Servers of the path that accept no connections or no longer compute their layers. */
     readonly lostServers?: readonly ServerEntry[];
 }
@@ -148,13 +150,14 @@
         }
     }
 
-    private handleFailure({ failure, bytesWritten }: ConnectionFailedError): void {
-        const reason = gatewayReason(failure, bytesWritten);
-        if (reason !== undefined) {
-            this.finish({ end: AttemptEnd.cancelled, reason });
+    private handleFailure({ failure, bytesWritten, reason }: ConnectionFailedError): void {
+        const endedByGateway = gatewayReason(failure, bytesWritten);
+        if (endedByGateway !== undefined) {
+            this.finish({ end: AttemptEnd.cancelled, reason: endedByGateway });
             return;
         }
-        this.finish({ end: bytesWritten ? AttemptEnd.broken : AttemptEnd.notRun, reason: `connection ${failure}` });
+        const unsendable = failure === ConnectionFailure.unsendable;
+        this.finish({ end: bytesWritten ? AttemptEnd.broken : AttemptEnd.notRun, reason, unsendable });
     }
 
     private finish(result: AttemptResult): void {
--- a/src/request/gateway/stream-request-handler.ts
+++ b/src/request/gateway/stream-request-handler.ts
@@ -195,8 +195,11 @@
         }
     }
 
-    private recordRefusal(serverId: string, { head, reason }: AttemptResult): void {
+    private recordRefusal(serverId: string, { head, reason, unsendable }: AttemptResult): void {
         const { exclusions } = this.dependencies;
+        if (unsendable === true) {
+            return;
+        }
         if (head?.status === serviceUnavailableStatus) {
             exclusions.recordRefusal(serverId, reason);
         }
--- a/test/platform/exchange.test.ts
+++ b/test/platform/exchange.test.ts
@@ -92,3 +92,45 @@
     await new Promise(resolve => setTimeout(resolve, 50));
     expect(connections).toBe(0);
 });
+
+// The exception of the runtime ended the process, since it left a callback of the event loop.
+test.each([
+    ["a port out of range", { port: 99_999 }, {}],
+    ["a header value with a line break", {}, { headers: () => ["X-Tenant", "a\nb"] }],
+    ["a path with a control character", {}, { path: "/look/\f" }],
+])("a request to a server with %s fails with nothing written, whether or not it serves a caller", async (
+    _case,
+    address,
+    changes,
+) => {
+    let connections = 0;
+    const { port } = await listen(() => connections++);
+    const entry = serverEntry("odd", { address: { host: "127.0.0.1", port, ...address } });
+    for (const callerGone of [new AbortController().signal, undefined]) {
+        const deadline = performance.now() + 5_000;
+        const options = { connectTimeoutMilliseconds: 500, deadline, callerGone, maximumBytes: 100 };
+        const failure = { name: "ConnectionFailedError", failure: "unsendable", bytesWritten: false };
+        await expect(readResponse(entry, { ...request, ...changes }, options)).rejects.toMatchObject(failure);
+    }
+    expect(connections).toBe(0);
+});
+
+test("an exchange reports that a request cannot be sent only after its constructor has returned", async () => {
+    const { port } = await listen(() => undefined);
+    let constructed = false;
+    const reportedAfterwards = await new Promise(resolve => {
+        new Exchange(
+            serverEntry("odd", { address: { host: "127.0.0.1", port } }),
+            { ...request, path: "/ /" },
+            { connectTimeoutMilliseconds: 500, deadline: performance.now() + 5_000, callerGone: undefined },
+            {
+                headReceived: () => undefined,
+                chunkReceived: () => undefined,
+                completed: () => undefined,
+                failed: () => resolve(constructed),
+            },
+        );
+        constructed = true;
+    });
+    expect(reportedAfterwards).toBe(true);
+});
