Take no backend server or report from values that are out of range

Callers saw routers end, stop following the registry, or send a plain service's requests to one server after another writer had left an odd entry. The decoder checked that values were numbers, not their range: port 0 or 99999 and octets over 255 (which the runtime resolves as a name), slots of 0, -3 or infinity, layers from -2.5, and 1e999, which JSON parses to infinity. A range from -1e308 made the coverage loop endless, since adding 1 changes nothing. An infinite start or layer became null in placement notices, so every router rejected all notices of the leader.

Whether layers belong to the model is known only with the engine profile, so the path chooser and the placement loop leave out servers with layers beyond it: else they count as copies, and the sound servers become the reserve.

--- a/src/domain/gateway/server-entry.ts
+++ b/src/domain/gateway/server-entry.ts
@@ -48,12 +48,20 @@
 } as const;
 export type OrderOutcome = typeof OrderOutcome[keyof typeof OrderOutcome];
 
-const socketAddressPattern = /^(\d{1,3}(?:\.\d{1,3}){3}):(\d{1,5})$/;
+const socketAddressPattern = /^((?:0|[1-9]\d{0,2})(?:\.(?:0|[1-9]\d{0,2})){3}):(\d{1,5})$/;
+const maximumOctet = 255;
+const maximumPort = 65_535;
 
-/** Returns undefined unless the text has the form `IP:PORT`. */
+/** Returns undefined unless the text has the form `IP:PORT`, with an IPv4 address and a port other than 0. */
 export function parseSocketAddress(text: string): SocketAddress | undefined {
     const match = socketAddressPattern.exec(text);
-    return match === null ? undefined : { host: match[1]!, port: Number(match[2]) };
+    if (match === null) {
+        return undefined;
+    }
+    const host = match[1]!;
+    const port = Number(match[2]);
+    const isValid = host.split(".").every(octet => Number(octet) <= maximumOctet) && port >= 1 && port <= maximumPort;
+    return isValid ? { host, port } : undefined;
 }
 
 export function formatSocketAddress(address: SocketAddress): string {
--- a/src/domain/layers.ts
+++ b/src/domain/layers.ts
@@ -6,6 +6,9 @@
     readonly last: number;
 }
 
+/** Far more than any model has; the memory and the time that a range takes grow with its layers. */
+export const maximumLayerCount = 10_000;
+
 export function layerCount(range: LayerRange): number {
     return range.last - range.first + 1;
 }
@@ -18,6 +21,11 @@
     return outer.first <= inner.first && inner.last <= outer.last;
 }
 
+/** Whether a model with the given number of layers has all layers of the range; true for a server without layers. */
+export function isWithinModel(range: LayerRange | undefined, modelLayers: number): boolean {
+    return range === undefined || (range.first >= 0 && range.last < modelLayers);
+}
+
 export function formatLayerRange(range: LayerRange): string {
     return `${range.first}-${range.last}`;
 }
--- a/src/process/gateway/layer-placement/placement-loop.ts
+++ b/src/process/gateway/layer-placement/placement-loop.ts
@@ -11,7 +11,7 @@
 import type { NoticeSender, RetryGrants, ServerNotice } from "../../../domain/gateway/placement-notice.js";
 import type { ServerControl } from "../../../domain/gateway/server-control.js";
 import { formatSocketAddress, OrderOutcome, type ServerEntry } from "../../../domain/gateway/server-entry.js";
-import { formatLayerRange, layerCount, type LayerRange } from "../../../domain/layers.js";
+import { formatLayerRange, isWithinModel, layerCount, type LayerRange } from "../../../domain/layers.js";
 import type { ActiveConfiguration } from "../active-configuration.js";
 import { type FleetLoad, noticeIntervalMilliseconds } from "../fleet-load.js";
 import type { FleetRetryBudget } from "../fleet-retry-budget.js";
@@ -119,7 +119,10 @@
         const stable = this.dependencies.registry.stable
             && (!noLayersHeld || monotonicNow() - this.lastChangeAt >= initialQuietMilliseconds);
         if (stable) {
-            this.planService(states.filter(state => state.usable), engine);
+            const plannable = states.filter(state =>
+                state.usable && isWithinModel(state.expectedLayers, engine.layerCount)
+            );
+            this.planService(plannable, engine);
         }
         return servers.map(({ id }) => id);
     }
--- a/src/request/gateway/layer-path-chooser.ts
+++ b/src/request/gateway/layer-path-chooser.ts
@@ -1,7 +1,7 @@
 /** Chooses the layer path of a streaming request by the registry, the fleet's load and recent request failures. */
 import type { EngineProfile } from "../../domain/gateway/configuration.js";
 import type { ServerEntry } from "../../domain/gateway/server-entry.js";
-import { layerCount } from "../../domain/layers.js";
+import { isWithinModel, layerCount } from "../../domain/layers.js";
 import type { LoadEstimate } from "../../process/gateway/fleet-load.js";
 import {
     layersThatFit,
@@ -98,7 +98,8 @@
     /** Time after which a request that was refused is expected to find a path with room. */
     expectedWaitMilliseconds(service: string, engine: EngineProfile, size: RequestSize): number {
         const coverage = new LayerCoverage(engine.layerCount);
-        const servers = this.registry.active(service);
+        const servers = this.registry.active(service)
+            .filter(({ layers }) => isWithinModel(layers, engine.layerCount));
         servers.forEach(({ layers }) => coverage.add(layers));
         const largestGap = Math.max(0, ...coverage.gaps().map(layerCount));
         if (largestGap === 0) {
@@ -136,15 +137,16 @@
         size: RequestSize,
         span?: PathSpan,
     ): LayerPath | undefined {
+        const candidates = entries.filter(({ layers }) => isWithinModel(layers, engine.layerCount));
         const holders: LayerHolder[] = [];
-        for (const { id, availabilityZone, layers } of entries) {
+        for (const { id, availabilityZone, layers } of candidates) {
             if (layers !== undefined) {
                 holders.push({ id, availabilityZone, range: layers });
             }
         }
         const standby = this.standbyPolicy.findStandbyServers(holders, engine.layerCount);
         const servers: PathServer[] = [];
-        for (const entry of entries) {
+        for (const entry of candidates) {
             const server = this.toPathServer(entry, engine, standby.has(entry.id));
             if (server !== undefined) {
                 servers.push(server);
--- a/test/process/gateway/placement-loop.test.ts
+++ b/test/process/gateway/placement-loop.test.ts
@@ -140,6 +140,15 @@
         expect(coversAllLayers(["b", "c"])).toBe(true);
     });
 
+    test("an engine whose entry names layers that the model does not have holds none of the others' layers", async () => {
+        addEngine("odd", { first: 0, last: 40 });
+        registry.put(serverEntry("odd", { kind: "large", layers: { first: 0, last: 40 } }), 2);
+        control.engines.get("b")!.dead = true;
+        exclusions.recordFailure("b", "takes no connection");
+        await jest.advanceTimersByTimeAsync(6_000);
+        expect(coversAllLayers(["a", "c"])).toBe(true);
+    });
+
     test("an engine that refuses requests and fails health checks is replaced until it is healthy again", async () => {
         const engine = control.engines.get("a")!;
         engine.healthy = false;
