Reject responses with a transfer coding other than chunks

A response with a transfer coding such as gzip was taken as complete, and its body was forwarded in that coding without the header that names it, since the router frames bodies itself. A response whose last coding is not chunks ("chunked, identity") was forwarded with the chunks' sizes in its body.

The exchange now fails such a response as a violation of the protocol when its head arrives, so that nothing of it is forwarded and another server may answer. Requests offer no coding (no TE header is forwarded), so that a server that follows the protocol sends none.

Failing before: a response with the transfer coding "gzip, chunked", whose body would reach the caller encoded, fails Expected: "failed protocol written=true" Received: "ended four" With the check taken out, the 4 tests of this name fail.

--- a/src/connection/gateway/exchange.ts
+++ b/src/connection/gateway/exchange.ts
@@ -169,6 +169,10 @@
         const { statusCode, headers, rawHeaders } = response;
         const status = statusCode ?? 0;
         const framing = responseFraming({ status, headers }, this.content.method);
+        if (framing === ResponseFraming.unsupported) {
+            this.fail(ConnectionFailure.protocol);
+            return;
+        }
         this.response = response;
         const endedInOrder = framing === ResponseFraming.untilClose ? endsInOrder(response.socket) : undefined;
         response.on("data", (chunk: Buffer) => {
--- a/src/connection/gateway/response-framing.ts
+++ b/src/connection/gateway/response-framing.ts
@@ -6,6 +6,8 @@
     selfDelimited: "self-delimited",
     /** The body ends with the connection. */
     untilClose: "until-close",
+    /** A transfer coding other than chunks, which no request accepts. */
+    unsupported: "unsupported",
 } as const;
 export type ResponseFraming = typeof ResponseFraming[keyof typeof ResponseFraming];
 
@@ -25,7 +27,8 @@
     if (method === "HEAD" || bodilessStatuses.has(status) || coding === chunkedCoding) {
         return ResponseFraming.selfDelimited;
     }
-    return coding !== identityCoding || headers["content-length"] === undefined
-        ? ResponseFraming.untilClose
-        : ResponseFraming.selfDelimited;
+    if (coding !== identityCoding) {
+        return ResponseFraming.unsupported;
+    }
+    return headers["content-length"] === undefined ? ResponseFraming.untilClose : ResponseFraming.selfDelimited;
 }
--- a/test/platform/exchange.test.ts
+++ b/test/platform/exchange.test.ts
@@ -115,6 +115,14 @@
     );
 });
 
+test.each(["gzip", "gzip, chunked", "chunked, identity", "chunked, chunked"])(
+    "a response with the transfer coding %p, whose body would reach the caller encoded, fails",
+    async coding => {
+        const bytes = `${head}Transfer-Encoding: ${coding}\r\n\r\n${chunk("four")}0\r\n\r\n`;
+        expect(await outcomeOf(socket => socket.end(bytes))).toBe("failed protocol written=true");
+    },
+);
+
 test("a response with both a length and chunks fails as broken", async () => {
     const bytes = `${head}Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n${chunk("four")}0\r\n\r\n`;
     expect(await outcomeOf(socket => socket.end(bytes))).toBe(brokenAfterSending);
