Fail exchanges at once whose server switches to another protocol

A response with status 101 and an Upgrade header made the runtime close the connection and report nothing but the request's "close" event. The exchange waited until its deadline, so that a plain request ended with 504 instead of being answered by another server.

The exchange now fails when the request closes without a complete response.

Failing before: a response that switches the protocol fails at once Expected: "failed broken written=true" Received: "failed silent written=true" With the listener taken out, the test fails again.

--- a/src/connection/gateway/exchange.ts
+++ b/src/connection/gateway/exchange.ts
@@ -154,14 +154,18 @@
             }
         });
         this.request.on("response", response => this.handleResponse(response));
-        this.request.on("error", error => {
-            if (this.response?.complete !== true) {
-                this.fail(this.connected ? ConnectionFailure.broken : ConnectionFailure.refused, error);
-            }
-        });
+        this.request.on("error", error => this.failUnlessComplete(error));
+        // The runtime reports nothing else if a server switches to another protocol.
+        this.request.on("close", () => this.failUnlessComplete());
         this.request.end(content.body);
     }
 
+    private failUnlessComplete(cause?: unknown): void {
+        if (this.response?.complete !== true) {
+            this.fail(this.connected ? ConnectionFailure.broken : ConnectionFailure.refused, cause);
+        }
+    }
+
     private handleResponse(response: IncomingMessage): void {
         if (this.finished) {
             return;
--- a/test/platform/exchange.test.ts
+++ b/test/platform/exchange.test.ts
@@ -128,6 +128,11 @@
     expect(await outcomeOf(socket => socket.end(bytes))).toBe(brokenAfterSending);
 });
 
+test("a response that switches the protocol fails at once", async () => {
+    const bytes = "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: other\r\n\r\n";
+    expect(await outcomeOf(socket => socket.write(bytes))).toBe(brokenAfterSending);
+});
+
 test("a response shorter than its Content-Length fails as broken", async () => {
     const outcome = await outcomeOf(socket => socket.end(`${head}Content-Length: 10\r\n\r\nfour`));
     expect(outcome).toBe("failed broken written=true");
