Give up silent servers only while another server can be heard

Cause: when a stream pauses, the router opens connections to the servers of its path and gave up each server that did not accept one within 18 ms. A new configuration reaches all routers at the same time and fills their own links, so that every reply is late together. Class: a failure detector that mistakes its own deafness for the death of others. Now a silent server counts as unreachable only if another server accepts a connection that was opened later, whose reply would have queued behind the missing one: one of the path that has just accepted, else another registered server. Without such an answer within 300 ms the check is inconclusive, is counted in pomelostall.gateway.inconclusive_reachability_checks, and gives up only servers that refuse. With the condition taken out, as before, four of the new tests fail: all three sound servers are reported unreachable.

--- /dev/null
+++ b/src/connection/gateway/connection-probe.ts
@@ -0,0 +1,56 @@
+/** Opens TCP connections to a backend server to find out whether it accepts them, and closes them at once. */
+import { connect, type Socket } from "node:net";
+import type { SocketAddress } from "../../domain/gateway/server-entry.js";
+
+export const ProbeOutcome = {
+    accepted: "accepted",
+    refused: "refused",
+    /** Neither accepted nor refused within the longest time of a probe. */
+    silent: "silent",
+} as const;
+export type ProbeOutcome = typeof ProbeOutcome[keyof typeof ProbeOutcome];
+
+export type OpenConnection = (address: SocketAddress) => Pick<Socket, "once" | "destroy">;
+
+export const openTcpConnection: OpenConnection = ({ host, port }) => connect(port, host);
+
+/** A second connection is opened after this time, in case the first connection's SYN packet was lost. */
+const retryDelayMilliseconds = 8;
+/** An answer that takes longer says nothing about the server's present state. */
+const longestProbeMilliseconds = 300;
+
+export class ConnectionProbe {
+    /** Undefined until the probe is settled. */
+    outcome: ProbeOutcome | undefined;
+    readonly settled: Promise<ProbeOutcome>;
+    private resolveSettled!: (outcome: ProbeOutcome) => void;
+    private readonly connections: Pick<Socket, "once" | "destroy">[] = [];
+    private readonly timers: ReturnType<typeof setTimeout>[];
+
+    constructor(private readonly address: SocketAddress, private readonly openConnection: OpenConnection) {
+        this.settled = new Promise(resolve => {
+            this.resolveSettled = resolve;
+        });
+        this.timers = [
+            setTimeout(() => this.open(), retryDelayMilliseconds),
+            setTimeout(() => this.settle(ProbeOutcome.silent), longestProbeMilliseconds),
+        ];
+        this.open();
+    }
+
+    private open(): void {
+        const connection = this.openConnection(this.address);
+        connection.once("connect", () => this.settle(ProbeOutcome.accepted));
+        connection.once("error", () => this.settle(ProbeOutcome.refused));
+        this.connections.push(connection);
+    }
+
+    private settle(outcome: ProbeOutcome): void {
+        if (this.outcome === undefined) {
+            this.outcome = outcome;
+            this.timers.forEach(timer => clearTimeout(timer));
+            this.connections.forEach(connection => connection.destroy());
+            this.resolveSettled(outcome);
+        }
+    }
+}
--- a/src/connection/gateway/reachability.ts
+++ b/src/connection/gateway/reachability.ts
@@ -2,21 +2,31 @@
  * Detects backend servers that accept no new connections, by opening TCP connections to them. A live server accepts a
  * connection within one round trip under any load; a crashed server refuses it, and a server that is cut off from the
  * network does not respond.
+ *
+ * Silence alone does not tell a lost server from a router that cannot hear: a new configuration or a burst of traffic
+ * fills this router's own link, and every server on it falls silent together. A silent server therefore counts as
+ * unreachable only if another server accepts a connection that was opened later, since its reply would have queued
+ * behind the missing one.
  */
-import { connect } from "node:net";
-import { monotonicNow } from "../../common/clock.js";
+import { delay, monotonicNow } from "../../common/clock.js";
+import { afterPendingInput } from "../../common/event-loop.js";
+import type { Metrics } from "../../common/metrics.js";
+import { type RandomSource, shuffle } from "../../common/random.js";
 import type { ServerEntry } from "../../domain/gateway/server-entry.js";
+import { ConnectionProbe, type OpenConnection, openTcpConnection, ProbeOutcome } from "./connection-probe.js";
 
 /** Fits about ten round trips between availability zones plus the handshake of a busy server. */
 const checkTimeoutMilliseconds = 18;
-/** A second connection is opened after this time, in case the first connection's SYN packet was lost. */
-const retryDelayMilliseconds = 8;
+/** Time by which the reply of a live server may follow that of a control: a few round trips between zones. */
+const controlMarginMilliseconds = 5;
+/** Connections that are opened to tell silent servers from a router that cannot hear. */
+const controlCount = 3;
 /** The result of a check is shared by all callers within this time. */
 const cacheTtlMilliseconds = 300;
 
-interface CachedResult {
+interface CachedProbe {
     readonly startedAt: number;
-    readonly reachable: Promise<boolean>;
+    readonly probe: ConnectionProbe;
 }
 
 export interface ReachabilityCheck {
@@ -24,49 +34,99 @@
     findUnreachable(servers: readonly ServerEntry[]): Promise<ServerEntry[]>;
 }
 
+export interface ReachabilityOptions {
+    /** All servers that should accept connections; some of them serve as controls. */
+    knownServers(): readonly ServerEntry[];
+    readonly random: RandomSource;
+    readonly metrics: Metrics;
+    /** Opens a TCP connection unless given. */
+    readonly openConnection?: OpenConnection;
+}
+
 export class TcpReachabilityCheck implements ReachabilityCheck {
-    private readonly checks = new Map<string, CachedResult>();
+    private readonly probes = new Map<string, CachedProbe>();
+    private readonly openConnection: OpenConnection;
+
+    constructor(private readonly options: ReachabilityOptions) {
+        this.openConnection = options.openConnection ?? openTcpConnection;
+    }
 
     async findUnreachable(servers: readonly ServerEntry[]): Promise<ServerEntry[]> {
-        const results = await Promise.all(servers.map(server => this.isReachable(server)));
-        return servers.filter((_server, index) => !results[index]);
+        const probes = servers.map(server => this.probe(server));
+        await settledWithin(probes, checkTimeoutMilliseconds);
+        const silent = probes.filter(isSilent);
+        if (silent.length > 0 && !await this.isAnsweredByControl(servers, probes, silent)) {
+            this.options.metrics.increment("pomelostall.gateway.inconclusive_reachability_checks", 1);
+            return servers.filter((_server, index) => probes[index]!.outcome === ProbeOutcome.refused);
+        }
+        return servers.filter((_server, index) => probes[index]!.outcome !== ProbeOutcome.accepted);
     }
 
-    private isReachable(server: ServerEntry): Promise<boolean> {
+    private probe(server: ServerEntry): ConnectionProbe {
         const now = monotonicNow();
-        for (const [id, { startedAt }] of this.checks) {
+        for (const [id, { startedAt }] of this.probes) {
             if (now - startedAt > cacheTtlMilliseconds) {
-                this.checks.delete(id);
+                this.probes.delete(id);
             }
         }
-        const cached = this.checks.get(server.id);
+        const cached = this.probes.get(server.id);
         if (cached !== undefined) {
-            return cached.reachable;
+            return cached.probe;
         }
-        const reachable = acceptsConnection(server);
-        this.checks.set(server.id, { startedAt: now, reachable });
-        return reachable;
+        const probe = new ConnectionProbe(server.address, this.openConnection);
+        this.probes.set(server.id, { startedAt: now, probe });
+        return probe;
     }
+
+    /** Whether a server accepts a connection that is opened now, before all of the silent ones have answered. */
+    private async isAnsweredByControl(
+        servers: readonly ServerEntry[],
+        probes: readonly ConnectionProbe[],
+        silent: readonly ConnectionProbe[],
+    ): Promise<boolean> {
+        const controls = this.chooseControls(servers, probes)
+            .map(({ address }) => new ConnectionProbe(address, this.openConnection));
+        const answered = await Promise.race([anyAccepted(controls), allSettled(silent).then(() => false)]);
+        if (answered) {
+            await settledWithin(silent, controlMarginMilliseconds);
+        }
+        return answered;
+    }
+
+    /** Servers that have just accepted a connection, else others; not those that are in question. */
+    private chooseControls(servers: readonly ServerEntry[], probes: readonly ConnectionProbe[]): ServerEntry[] {
+        const { random, knownServers } = this.options;
+        const accepted = servers.filter((_server, index) => probes[index]!.outcome === ProbeOutcome.accepted);
+        const checkedIds = new Set(servers.map(({ id }) => id));
+        const others = knownServers().filter(({ id }) => !checkedIds.has(id));
+        return [...shuffle(random, accepted), ...shuffle(random, others)].slice(0, controlCount);
+    }
+}
+
+function isSilent({ outcome }: ConnectionProbe): boolean {
+    return outcome === undefined || outcome === ProbeOutcome.silent;
 }
 
-function acceptsConnection({ address }: ServerEntry): Promise<boolean> {
+/** Resolves to whether any probe is accepted, as soon as that is known. */
+function anyAccepted(probes: readonly ConnectionProbe[]): Promise<boolean> {
     return new Promise(resolve => {
-        const settle = (reachable: boolean) => {
-            timers.forEach(timer => clearTimeout(timer));
-            sockets.forEach(socket => socket.destroy());
-            resolve(reachable);
-        };
-        const openSocket = () => {
-            const socket = connect(address.port, address.host);
-            socket.once("connect", () => settle(true));
-            socket.once("error", () => settle(false));
-            return socket;
-        };
-        const sockets = [openSocket()];
-        const timers = [
-            setTimeout(() => sockets.push(openSocket()), retryDelayMilliseconds),
-            // setImmediate lets the event loop process connections that were established while it was blocked.
-            setTimeout(() => setImmediate(() => settle(false)), checkTimeoutMilliseconds),
-        ];
+        const settled = probes.map(async probe => {
+            if (await probe.settled === ProbeOutcome.accepted) {
+                resolve(true);
+            }
+        });
+        void Promise.all(settled).then(() => resolve(false));
     });
 }
+
+async function allSettled(probes: readonly ConnectionProbe[]): Promise<void> {
+    await Promise.all(probes.map(({ settled }) => settled));
+}
+
+/** Resolves once all probes are settled, or after the time and after the input that has arrived by then is read. */
+async function settledWithin(probes: readonly ConnectionProbe[], milliseconds: number): Promise<void> {
+    await Promise.race([
+        allSettled(probes),
+        delay(milliseconds).then(() => new Promise<void>(resolve => afterPendingInput(resolve))),
+    ]);
+}
--- a/src/daemon/gateway/request-path.ts
+++ b/src/daemon/gateway/request-path.ts
@@ -88,7 +88,11 @@
             paths,
             registry,
             control,
-            reachability: new TcpReachabilityCheck(),
+            reachability: new TcpReachabilityCheck({
+                knownServers: () => registry.allRegistered(),
+                random,
+                metrics,
+            }),
             recoveryPolicy: new FewestZoneCrossingsPolicy(),
             firstEvents: new FirstEventLatency(),
         }),
--- a/src/process/gateway/server-registry.ts
+++ b/src/process/gateway/server-registry.ts
@@ -117,6 +117,11 @@
         return this.present(service).map(({ entry }) => entry);
     }
 
+    /** Servers of all services that are not draining or removed. */
+    allRegistered(): ServerEntry[] {
+        return this.present().map(({ entry }) => entry);
+    }
+
     /** Draining and removed servers of a service whose departure became known less than the given time ago. */
     recentlyLeaving(service: string, milliseconds: number): ServerEntry[] {
         const since = monotonicNow() - milliseconds;
@@ -212,10 +217,12 @@
         return notice.lost || notice.bornAt !== server.bornAt || !covers(notice.layers, layers);
     }
 
-    private present(service: string): Registration[] {
+    /** Of all services if none is given. */
+    private present(service?: string): Registration[] {
         const now = monotonicNow();
         return [...this.registrations.values()].filter(({ entry, leavingSince, graceEndsAt }) =>
-            entry.service === service && (leavingSince === undefined || (graceEndsAt ?? 0) > now)
+            (service === undefined || entry.service === service)
+            && (leavingSince === undefined || (graceEndsAt ?? 0) > now)
         );
     }
 
--- a/test/connection/gateway/reachability.test.ts
+++ b/test/connection/gateway/reachability.test.ts
@@ -1,6 +1,12 @@
-import { afterEach, beforeEach, expect, jest, test } from "@jest/globals";
+import { afterEach, beforeEach, describe, expect, jest, test } from "@jest/globals";
+import { EventEmitter } from "node:events";
+import type { Socket } from "node:net";
 import { type AddressInfo, createServer, type Server } from "node:net";
+import { SilentMetrics } from "../../../src/common/metrics.js";
+import { SeededRandom } from "../../../src/common/random.js";
+import { type OpenConnection } from "../../../src/connection/gateway/connection-probe.js";
 import { TcpReachabilityCheck } from "../../../src/connection/gateway/reachability.js";
+import type { ServerEntry } from "../../../src/domain/gateway/server-entry.js";
 import { serverEntry } from "../../process/gateway/fixtures.js";
 
 let server: Server;
@@ -8,6 +14,15 @@
 const port = () => (server.address() as AddressInfo).port;
 const entry = (id: string, atPort: number) => serverEntry(id, { address: { host: "127.0.0.1", port: atPort } });
 
+function createCheck(knownServers: readonly ServerEntry[] = [], openConnection?: OpenConnection): TcpReachabilityCheck {
+    return new TcpReachabilityCheck({
+        knownServers: () => knownServers,
+        random: new SeededRandom(1),
+        metrics: new SilentMetrics(),
+        ...(openConnection === undefined ? {} : { openConnection }),
+    });
+}
+
 beforeEach(async () => {
     jest.useRealTimers();
     acceptedConnections = 0;
@@ -25,7 +40,7 @@
     await new Promise<void>(resolve => closed.listen(0, "127.0.0.1", resolve));
     const closedPort = (closed.address() as AddressInfo).port;
     await new Promise(resolve => closed.close(resolve));
-    const unreachable = await new TcpReachabilityCheck().findUnreachable([
+    const unreachable = await createCheck().findUnreachable([
         entry("alive", port()),
         entry("dead", closedPort),
     ]);
@@ -33,7 +48,7 @@
 });
 
 test("a connection established while the event loop is blocked past the timeout counts as reachable", async () => {
-    const result = new TcpReachabilityCheck().findUnreachable([entry("alive", port())]);
+    const result = createCheck().findUnreachable([entry("alive", port())]);
     const busyUntil = performance.now() + 60;
     while (performance.now() < busyUntil) {
         // Blocks the event loop until the check's timeout has passed.
@@ -42,9 +57,70 @@
 });
 
 test("checks of the same server within the cache lifetime share one connection", async () => {
-    const check = new TcpReachabilityCheck();
+    const check = createCheck();
     await Promise.all([check.findUnreachable([entry("a", port())]), check.findUnreachable([entry("a", port())])]);
     await check.findUnreachable([entry("a", port())]);
     await new Promise(resolve => setTimeout(resolve, 50));
     expect(acceptedConnections).toBe(1);
 });
+
+describe("with silent servers", () => {
+    const never = Infinity;
+    const servers = [1, 2, 3].map(number => entry(`server-${number}`, number));
+    const others = [4, 5, 6].map(number => entry(`other-${number}`, number));
+
+    /** Connections are accepted after a time that depends on the port and on the time since the first connection. */
+    function acceptAfter(milliseconds: (port: number, openedAfter: number) => number): OpenConnection {
+        let firstOpenedAt: number | undefined;
+        return ({ port }) => {
+            firstOpenedAt ??= performance.now();
+            const connection = new EventEmitter();
+            const wait = milliseconds(port, performance.now() - firstOpenedAt);
+            if (wait !== never) {
+                setTimeout(() => connection.emit("connect"), wait);
+            }
+            return Object.assign(connection, { destroy: () => connection.removeAllListeners() }) as unknown as Socket;
+        };
+    }
+
+    async function findUnreachable(openConnection: OpenConnection, known = [...servers, ...others]): Promise<string[]> {
+        jest.useFakeTimers();
+        const result = createCheck(known, openConnection).findUnreachable(servers);
+        await jest.advanceTimersByTimeAsync(1_000);
+        return (await result).map(({ id }) => id);
+    }
+
+    test("a lost server is found while others accept connections", async () => {
+        expect(await findUnreachable(acceptAfter(port => port === 2 ? never : 3))).toEqual(["server-2"]);
+    });
+
+    test("all servers of a path are found lost while servers elsewhere accept connections", async () => {
+        expect(await findUnreachable(acceptAfter(port => port <= 3 ? never : 3)))
+            .toEqual(["server-1", "server-2", "server-3"]);
+    });
+
+    test("none is given up while the router's own link delays every packet", async () => {
+        expect(await findUnreachable(acceptAfter(() => 120))).toEqual([]);
+    });
+
+    test("none is given up while the router's own link begins to delay packets", async () => {
+        expect(await findUnreachable(acceptAfter((port, openedAfter) => port === 1 && openedAfter < 8 ? 2 : 120)))
+            .toEqual([]);
+    });
+
+    test("none is given up while no server can be heard", async () => {
+        expect(await findUnreachable(acceptAfter(() => never))).toEqual([]);
+    });
+
+    test("a server that refuses connections is found while no other can be heard", async () => {
+        const silent = acceptAfter(() => never);
+        const refuseFirst: OpenConnection = address => {
+            const connection = silent(address);
+            if (address.port === 1) {
+                setTimeout(() => (connection as unknown as EventEmitter).emit("error", new TypeError("refused")), 1);
+            }
+            return connection;
+        };
+        expect(await findUnreachable(refuseFirst)).toEqual(["server-1"]);
+    });
+});
