--- a/src/connection/gateway/reachability.ts
+++ b/src/connection/gateway/reachability.ts
@@ -95,10 +95,10 @@
 
     /** Servers that have just accepted a connection, else others; not those that are in question. */
     private chooseControls(servers: readonly ServerEntry[], probes: readonly ConnectionProbe[]): ServerEntry[] {
-        const { random, knownServers } = this.options;
+        const { random } = this.options;
         const accepted = servers.filter((_server, index) => probes[index]!.outcome === ProbeOutcome.accepted);
         const checkedIds = new Set(servers.map(({ id }) => id));
-        const others = knownServers().filter(({ id }) => !checkedIds.has(id));
+        const others = this.options.knownServers().filter(({ id }) => !checkedIds.has(id));
         return [...shuffle(random, accepted), ...shuffle(random, others)].slice(0, controlCount);
     }
 }
