--- a/test/platform/odd-json.ts
+++ b/test/platform/odd-json.ts
@@ -51,15 +51,30 @@
 
 /** A sound value in which a few values at any depth are replaced by odd ones or left out, as JSON text. */
 export function withOddValues(sound: unknown): fc.Arbitrary<string> {
-    const paths = listPaths(sound, []);
-    const change = fc.tuple(fc.constantFrom(...paths), fc.option(oddJson, { nil: undefined }));
+    const change = fc.constantFrom(...listPlaces(sound, []))
+        .chain(({ path, value }) => fc.tuple(fc.constant(path), replacementOf(value)));
     return fc.array(change, { minLength: 1, maxLength: 3 })
         .map(changes => format(sound, [], new Map(changes.map(([path, text]) => [path.join("/"), text]))) ?? "null");
 }
 
-function listPaths(value: unknown, path: JsonPath): JsonPath[] {
+interface Place {
+    readonly path: JsonPath;
+    readonly value: unknown;
+}
+
+function listPlaces(value: unknown, path: JsonPath): Place[] {
     const children = typeof value === "object" && value !== null ? Object.entries(value) : [];
-    return [path, ...children.flatMap(([key, child]) => listPaths(child, [...path, key]))];
+    return [{ path, value }, ...children.flatMap(([key, child]) => listPlaces(child, [...path, key]))];
+}
+
+/** Mostly of the type of the sound value, since another type is rejected early; undefined leaves the value out. */
+function replacementOf(value: unknown): fc.Arbitrary<string | undefined> {
+    const sameType = typeof value === "number" ? oddNumber : typeof value === "string" ? oddString : oddJson;
+    return fc.oneof(
+        { weight: 8, arbitrary: sameType },
+        { weight: 1, arbitrary: oddJson },
+        { weight: 1, arbitrary: fc.constant(undefined) },
+    );
 }
 
 /** Undefined for a value that is left out. */
