Pass over an item of the store for which a decoder throws unexpectedly

An error that a decoder does not announce was rethrown into the store watcher, which took it for an outage of the store: it read everything again, met the same item, and applied nothing of the registry or of later changes.

Such an error is now logged with its stack and concerns only its item; errors of applying decoded items still reach the watcher.

--- a/src/process/gateway/store-dispatcher.ts
+++ b/src/process/gateway/store-dispatcher.ts
@@ -4,6 +4,7 @@
  * previous one stays active. A backend server or router whose value cannot be decoded counts as not registered.
  */
 import type { Logger } from "../../common/logger.js";
+import type { GatewayConfiguration } from "../../domain/gateway/configuration.js";
 import type { ItemChange, StoredItem } from "../../domain/gateway/metadata-store.js";
 import { parseSocketAddress, type ServerEntry, type SocketAddress } from "../../domain/gateway/server-entry.js";
 import type { StoreLayout } from "../../domain/gateway/store-layout.js";
@@ -83,7 +84,7 @@
     }
 
     private decodeServer(id: string, value: Buffer): ServerEntry | undefined {
-        const entry = this.layout.decodeServer(id, value);
+        const entry = this.decode(`${this.layout.serverKeyPrefix}${id}`, () => this.layout.decodeServer(id, value));
         if (entry === undefined) {
             this.logger.warn("registry entry cannot be decoded; backend server counts as not registered", {
                 id,
@@ -94,8 +95,16 @@
     }
 
     private applyConfiguration(value: Buffer, revision: number): void {
+        const key = this.layout.configurationKey;
+        const configuration = this.decode(key, () => this.decodeConfiguration(value, revision));
+        if (configuration !== undefined) {
+            this.configuration.applyIfNewer(configuration, "store");
+        }
+    }
+
+    private decodeConfiguration(value: Buffer, revision: number): GatewayConfiguration | undefined {
         try {
-            this.configuration.applyIfNewer(this.layout.decodeConfiguration(value), "store");
+            return this.layout.decodeConfiguration(value);
         }
         catch (error) {
             if (!(error instanceof MalformedConfigurationError)) {
@@ -105,6 +114,21 @@
                 revision,
                 error: error.message,
             });
+            return undefined;
+        }
+    }
+
+    /** An error that the decoder does not announce concerns this item alone: the items around it still apply. */
+    private decode<Value>(key: string, decodeItem: () => Value | undefined): Value | undefined {
+        try {
+            return decodeItem();
+        }
+        catch (error) {
+            this.logger.error("decoder failed unexpectedly; the item is passed over", {
+                key,
+                error: String((error as Error | undefined)?.stack),
+            });
+            return undefined;
         }
     }
 
