Decode the messages of other routers with the range of each number

A message that is not JSON threw an untyped error.

Each number now has its range, and a message outside it is an InvalidPeerMessageError on the path that untyped errors took (400 to the sender, or a failed call). Token sums of the leader may fall below 0 by a rounding error, since it adds and subtracts fractions: such sums count as 0, so that they do not invalidate a notice.

Without the residue in the schema, "loads whose sum of fractions fell below 0 by a rounding error are still accepted" fails.

--- a/src/connection/gateway/peer-leadership.ts
+++ b/src/connection/gateway/peer-leadership.ts
@@ -3,6 +3,7 @@
 import type { Logger } from "../../common/logger.js";
 import type { LeadershipHandover, LeadershipOffer } from "../../domain/gateway/leadership-offer.js";
 import { formatSocketAddress, type SocketAddress } from "../../domain/gateway/server-entry.js";
+import { parsePeerMessage, quantity, wholeNumber } from "./peer-messages.js";
 import { sendPeerRequest } from "./peer-request.js";
 
 export const offerPath = "/leadership-offer";
@@ -11,11 +12,11 @@
 const maximumOffers = 4;
 const acceptedStatus = 204;
 
-const offerSchema = z.object({ leaseId: z.number(), holder: z.string(), renewedMillisecondsAgo: z.number() });
+const offerSchema = z.object({ leaseId: wholeNumber(), holder: z.string(), renewedMillisecondsAgo: quantity() });
 
-/** Throws if the text is not a valid leadership offer. */
+/** Throws InvalidPeerMessageError if the text is not a valid leadership offer. */
 export function decodeOffer(text: string): LeadershipOffer {
-    return offerSchema.parse(JSON.parse(text));
+    return parsePeerMessage("leadership offer", offerSchema, text);
 }
 
 export class HttpLeadershipHandover implements LeadershipHandover {
--- a/src/connection/gateway/peer-notices.ts
+++ b/src/connection/gateway/peer-notices.ts
@@ -9,6 +9,8 @@
     ServerLoads,
 } from "../../domain/gateway/placement-notice.js";
 import { formatSocketAddress, type SocketAddress } from "../../domain/gateway/server-entry.js";
+import { maximumLayerCount } from "../../domain/layers.js";
+import { parsePeerMessage, quantity, wholeNumber } from "./peer-messages.js";
 import { sendPeerRequest } from "./peer-request.js";
 
 export const noticePath = "/placement-notice";
@@ -20,25 +22,32 @@
  */
 const maximumConcurrentNotices = 32;
 
+/** Sums of fractional tokens may fall below 0 by a rounding error. */
+const maximumResidue = 1e-3;
+
 /** Request count and token count, keyed by the ID of the backend server. */
-const loadsSchema = z.record(z.string(), z.tuple([z.number(), z.number()]));
+const loadsSchema = z.record(z.string(), z.tuple([wholeNumber(), quantity(-maximumResidue)]));
+
+const layerIndex = () => wholeNumber(maximumLayerCount - 1);
+const layersSchema = z.object({ first: layerIndex(), last: layerIndex() })
+    .check(z.refine(({ first, last }) => first <= last));
 
 const noticeSchema = z.object({
     sender: z.string(),
     servers: z.array(z.object({
         id: z.string(),
-        bornAt: z.optional(z.number()),
-        layers: z.optional(z.object({ first: z.number(), last: z.number() })),
+        bornAt: z.optional(wholeNumber()),
+        layers: z.optional(layersSchema),
         lost: z.boolean(),
     })),
     otherLoads: loadsSchema,
     /** Missing in notices of routers before the shared retry budget. */
-    retryGrants: z.optional(z.record(z.string(), z.number())),
+    retryGrants: z.optional(z.record(z.string(), quantity())),
 });
 
 const reportSchema = z.object({
     loads: loadsSchema,
-    retryUsages: z.record(z.string(), z.object({ requests: z.number(), retries: z.number() })),
+    retryUsages: z.record(z.string(), z.object({ requests: wholeNumber(), retries: wholeNumber() })),
 });
 
 export function encodeNotice({ sender, servers, otherLoads, retryGrants }: PlacementNotice): Buffer {
@@ -50,9 +59,9 @@
     }));
 }
 
-/** Throws if the text is not a valid placement notice. */
+/** Throws InvalidPeerMessageError if the text is not a valid placement notice. */
 export function decodeNotice(text: string): PlacementNotice {
-    const { sender, servers, otherLoads, retryGrants } = noticeSchema.parse(JSON.parse(text));
+    const { sender, servers, otherLoads, retryGrants } = parsePeerMessage("placement notice", noticeSchema, text);
     return {
         sender,
         servers: servers.map(({ id, bornAt, layers, lost }) => ({ id, bornAt, layers, lost })),
@@ -65,9 +74,9 @@
     return Buffer.from(JSON.stringify({ loads: formatLoads(loads), retryUsages: Object.fromEntries(retryUsages) }));
 }
 
-/** Throws if the text is not a valid report. */
+/** Throws InvalidPeerMessageError if the text is not a valid report. */
 export function decodeReport(text: string): RouterReport {
-    const { loads, retryUsages } = reportSchema.parse(JSON.parse(text));
+    const { loads, retryUsages } = parsePeerMessage("report of a router", reportSchema, text);
     return { loads: parseLoads(loads), retryUsages: new Map(Object.entries(retryUsages)) };
 }
 
@@ -139,5 +148,7 @@
 }
 
 function parseLoads(loads: z.infer<typeof loadsSchema>): ServerLoads {
-    return new Map(Object.entries(loads).map(([id, [requests, tokens]]) => [id, { requests, tokens }]));
+    return new Map(
+        Object.entries(loads).map(([id, [requests, tokens]]) => [id, { requests, tokens: Math.max(0, tokens) }]),
+    );
 }
--- a/src/connection/gateway/peer-snapshots.ts
+++ b/src/connection/gateway/peer-snapshots.ts
@@ -3,6 +3,7 @@
 import { formatSocketAddress, type SocketAddress } from "../../domain/gateway/server-entry.js";
 import type { SnapshotSource, StoreSnapshot } from "../../domain/gateway/store-snapshot.js";
 import { PeerUnreachableError } from "../../errors/index.js";
+import { parsePeerMessage, wholeNumber } from "./peer-messages.js";
 import { sendPeerRequest } from "./peer-request.js";
 
 export const snapshotPath = "/store-snapshot";
@@ -12,8 +13,8 @@
 const httpStatus = { ok: 200, noContent: 204 } as const;
 
 const snapshotSchema = z.object({
-    storeRevision: z.number(),
-    items: z.array(z.object({ key: z.string(), value: z.string(), revision: z.number() })),
+    storeRevision: wholeNumber(),
+    items: z.array(z.object({ key: z.string(), value: z.string(), revision: wholeNumber() })),
 });
 
 export function encodeSnapshot({ storeRevision, items }: StoreSnapshot): Buffer {
@@ -23,6 +24,15 @@
     }));
 }
 
+/** Throws InvalidPeerMessageError if the text is not a valid snapshot. */
+export function decodeSnapshot(text: string): StoreSnapshot {
+    const { storeRevision, items } = parsePeerMessage("store snapshot", snapshotSchema, text);
+    return {
+        storeRevision,
+        items: items.map(({ key, value, revision }) => ({ key, revision, value: Buffer.from(value, "base64") })),
+    };
+}
+
 export class HttpSnapshotSource implements SnapshotSource {
     async readSnapshot(router: SocketAddress, afterRevision: number): Promise<StoreSnapshot | undefined> {
         const response = await sendPeerRequest(router, {
@@ -33,27 +43,10 @@
         if (response.status === httpStatus.noContent) {
             return undefined;
         }
-        const parsed = response.status === httpStatus.ok
-            ? snapshotSchema.safeParse(parseJson(response.text))
-            : undefined;
-        if (parsed?.success !== true) {
+        if (response.status !== httpStatus.ok) {
             const address = formatSocketAddress(router);
-            throw new PeerUnreachableError(address, parsed?.error ?? `unexpected HTTP status ${response.status}`);
+            throw new PeerUnreachableError(address, `unexpected HTTP status ${response.status}`);
         }
-        const { storeRevision, items } = parsed.data;
-        return {
-            storeRevision,
-            items: items.map(({ key, value, revision }) => ({ key, revision, value: Buffer.from(value, "base64") })),
-        };
-    }
-}
-
-/** Undefined if the text is not valid JSON; the schema then rejects it. */
-function parseJson(text: string): unknown {
-    try {
-        return JSON.parse(text) as unknown;
-    }
-    catch {
-        return undefined;
+        return decodeSnapshot(response.text);
     }
 }
--- a/src/errors/peer-errors.ts
+++ b/src/errors/peer-errors.ts
@@ -44,3 +44,17 @@
         );
     }
 }
+
+const invalidPeerMessageDefinition = defineError({
+    code: "invalid-peer-message",
+    title: "Another router sent an invalid message",
+    hint:
+        "The router ignores the message. If it happens again, check whether the log line's router has the same version.",
+});
+
+/** A message of another router is not JSON, or does not match the schema of its kind. */
+export class InvalidPeerMessageError extends PomelostallError {
+    constructor(kind: string, cause: unknown) {
+        super(invalidPeerMessageDefinition, `The ${kind} is invalid: ${String(cause)}.`, { cause });
+    }
+}
