Add failing tests of streams on silent servers and of runs abandoned beyond the retry budget

What callers saw: an accepted stream was closed midway although its server would have finished it, also beside a change of the configuration.

A stream whose server is silent for 1.3 s and then goes on is abandoned after 1 s; when every server refuses the new run, the caller's connection is closed:

It is the same before the first event, and when the new run stays silent too (the caller waits to its deadline for a run that never answers while the first one has been cancelled). When a server is reported without its layers and one retry is left, all its streams are abandoned and all but one closed:

A stream whose run broke off is closed after servers have refused it for about half a second, or at once when no retry is left in the budget.

--- a/test/platform/gateway-fixture.ts
+++ b/test/platform/gateway-fixture.ts
@@ -17,6 +17,7 @@
 import { Gateway } from "../../src/daemon/gateway/gateway.js";
 import type { PlacementNotice } from "../../src/domain/gateway/placement-notice.js";
 import type { SocketAddress } from "../../src/domain/gateway/server-entry.js";
+import type { GatewaySettings } from "../../src/process/gateway/settings.js";
 import type { StandInBackendServer } from "./stand-ins/backend-server.js";
 import { StandInStore } from "./stand-ins/store.js";
 
@@ -97,7 +98,11 @@
     private readonly gateways: RunningGateway[] = [];
 
     /** Registers the servers, publishes the configuration if a version is given, and starts a gateway. */
-    static async start(servers: readonly StandInBackendServer[], version?: number): Promise<GatewayFixture> {
+    static async start(
+        servers: readonly StandInBackendServer[],
+        version?: number,
+        bounds: Partial<GatewaySettings["bounds"]> = {},
+    ): Promise<GatewayFixture> {
         const fixture = new GatewayFixture();
         const address = await fixture.store.start();
         for (const server of servers) {
@@ -108,7 +113,7 @@
         if (version !== undefined) {
             fixture.store.put(configurationKey, configuration(version));
         }
-        fixture.gateways.push(await startGateway("edge-1", address, []));
+        fixture.gateways.push(await startGateway("edge-1", address, [], bounds));
         return fixture;
     }
 
@@ -157,9 +162,11 @@
     }
 
     /** Sends a placement notice in the role of the placement leader. */
-    sendPlacementNotice(servers: PlacementNotice["servers"]): Promise<GatewayResponse> {
-        const body = encodeNotice({ sender: "leader", servers, otherLoads: new Map(), retryGrants: new Map() })
-            .toString();
+    sendPlacementNotice(
+        servers: PlacementNotice["servers"],
+        retryGrants: PlacementNotice["retryGrants"] = new Map(),
+    ): Promise<GatewayResponse> {
+        const body = encodeNotice({ sender: "leader", servers, otherLoads: new Map(), retryGrants }).toString();
         return sendRequest(this.gateways[0]!.peerAddress.port, "POST", noticePath, {}, body);
     }
 
@@ -213,6 +220,7 @@
     name: string,
     store: SocketAddress,
     contacts: readonly SocketAddress[],
+    bounds: Partial<GatewaySettings["bounds"]> = {},
 ): Promise<RunningGateway> {
     const [callers, readiness, peers, metrics] = await freePorts(4);
     const local = (port: number | undefined) => ({ host: "127.0.0.1", port: port! });
@@ -235,6 +243,7 @@
             retryWindowSeconds: 10,
             retryExtra: 100,
             stallMilliseconds: 3_000,
+            ...bounds,
         },
     }, {
         store: new StoreClient(store),
--- a/test/platform/stand-ins/backend-server.ts
+++ b/test/platform/stand-ins/backend-server.ts
@@ -30,6 +30,13 @@
     /** Breaks off streams that start at the first event; resumed streams are complete. */
     | "break-first-run";
 
+/** A pause after which the server goes on with the same stream. */
+export interface Silence {
+    /** ID of the event that the pause precedes. */
+    readonly beforeEvent: number;
+    readonly milliseconds: number;
+}
+
 export interface ReceivedRequest {
     readonly method: string;
     readonly url: string;
@@ -68,6 +75,10 @@
     /** Number of requests whose connection closed before the response was complete. */
     abortedRequests = 0;
     eventMilliseconds = 2;
+    /** Occurs in streams that start at the first event. */
+    silence: Silence | undefined;
+    /** Sends the head of a stream at once instead of with the first event. */
+    sendsHeadEarly = false;
     /** Open connections on which bytes are sent without end. */
     endlessConnections = 0;
     endlessBytes = 0;
@@ -238,6 +249,9 @@
             setTimeout(() => response.destroy(), 5);
             return;
         }
+        if (this.sendsHeadEarly) {
+            response.flushHeaders();
+        }
         const first = Number(request.headers["last-event-id"] ?? 0) + 1;
         for (let id = first; id <= eventsInStream; id++) {
             const breaks = this.behavior === "break-stream" || (this.behavior === "break-first-run" && first === 1);
@@ -246,6 +260,9 @@
                 setTimeout(() => response.destroy(), 5);
                 return;
             }
+            if (first === 1 && id === this.silence?.beforeEvent) {
+                await new Promise(resolve => setTimeout(resolve, this.silence!.milliseconds));
+            }
             response.write(`id: ${id}\ndata: word ${id}\n\n`);
             await new Promise(resolve => setTimeout(resolve, this.eventMilliseconds));
         }
