Run a suspected stream again beside its present run instead of in its place

What callers saw: an accepted stream was closed midway (LOST) although its server was only silent for a second and would have finished it.

Cause: a stream was ended by the gateway on a mere suspicion (no event for 1 s, a server on its path that accepted no connection for 18 ms, a report of dropped layers), before anything had taken its place. If the new run was refused, or the retry budget had nothing left, the caller's connection was closed. The budget was only looked at when streams were ended: all streams of a lost server saw the same free retry in one turn, all were ended, and all but one closed.

A suspected stream now goes on. The retry is reserved first, in the turn in which it is seen to be free; the new run starts beside the suspected one, and whichever delivers the next event goes on while the other is cancelled. A refused or failed new run, or an empty budget, leaves the first run as it is; another one is tried after 50 ms, growing to 400 ms, while the suspicion lasts and the route's max_attempts and the limit of refusals allow it. A new run on a server that is lost too is replaced. While two runs compete before the first event, the head of neither is forwarded until one has won. Servers that are reported without their layers, but still send events, keep their streams until there is a pause.

A stream that has begun and whose run broke off now waits for a retry of the budget, and after a refusal for a growing delay, for as long as its caller has patience (2 s, four target latencies or eight event gaps), instead of being closed at once.

--- a/src/request/gateway/attempt-supervisor.ts
+++ b/src/request/gateway/attempt-supervisor.ts
@@ -1,7 +1,8 @@
 /**
- * Monitors the progress of one attempt of a stream. In a long pause between events it checks whether the
- * backend servers of the path accept connections. If some do not, it moves the attempt to a path without them, or ends
- * it so that the request is run again.
+ * Monitors the progress of one attempt of a stream. In a long pause between events it checks whether the backend servers
+ * of the path accept connections. If some do not, it moves the attempt to a path without them or starts a new run beside
+ * it, as it does after a stall. The attempt itself goes on meanwhile: its server may only be silent for a moment, and the
+ * new run may be refused.
  */
 import { monotonicNow } from "../../common/clock.js";
 import type { Logger } from "../../common/logger.js";
@@ -11,16 +12,9 @@
 import { OrderOutcome, type ServerEntry } from "../../domain/gateway/server-entry.js";
 import type { ServerExclusions } from "../../process/gateway/server-exclusions.js";
 import type { LayerPathChooser } from "./layer-path-chooser.js";
-import {
-    addressedParts,
-    formatPath,
-    type LayerPath,
-    type LayerPathPart,
-    type RequestSize,
-} from "./layer-path-finder.js";
+import { addressedParts, formatPath, type LayerPath, type LayerPathPart } from "./layer-path-finder.js";
 import { type PathRecoveryPolicy, RecoveryAction } from "./path-recovery-policy.js";
 import { StallDetector, type StallLimits } from "./stall-detector.js";
-import type { StreamAttempt } from "./stream-attempt.js";
 import type { StreamProgress } from "./stream-progress.js";
 import type { GatewayRequest } from "./types.js";
 
@@ -36,19 +30,28 @@
 
 export interface SupervisedAttempt {
     readonly request: GatewayRequest;
-    readonly attempt: StreamAttempt;
     readonly path: LayerPath;
-    readonly size: RequestSize;
     readonly progress: StreamProgress;
     readonly limits: StallLimits;
-    /** Whether the route, the attempt limit and the retry budget allow another run of the request. */
-    mayRerun(): boolean;
+    /** Whether another run of the request competes with this one. */
+    hasRival(): boolean;
+    /** Whether the route, the attempt limit and the retry budget allow another run beside this one. */
+    mayStartRival(): boolean;
+    /**
+     * Starts another run beside this one, if that is still allowed; later runs avoid the given servers. Returns whether it
+     * has.
+     */
+    startRival(path: LayerPath, avoided: ReadonlySet<string>): boolean;
     /** Chooses the path for a new run without the servers in `avoided`. */
     choosePath(avoided: ReadonlySet<string>): LayerPath | undefined;
     /** Chooses a path that keeps all parts except those of the lost servers. */
     chooseReplacement(path: LayerPath, lost: ReadonlySet<string>): LayerPath | undefined;
 }
 
+/** Delay before a new run is tried again while the attempt remains suspected; doubles up to the maximum. */
+const initialRetryMilliseconds = 50;
+const maximumRetryMilliseconds = 400;
+
 /** All running attempts, so that a server failure that one attempt detects is handled for all of them. */
 export class RunningAttempts {
     private readonly supervisors = new Set<AttemptSupervisor>();
@@ -76,8 +79,14 @@
 }
 
 export class AttemptSupervisor {
-    readonly stallDetector: StallDetector;
+    private readonly stallDetector: StallDetector;
     private currentPath: LayerPath;
+    /** Servers that are lost; empty once the attempt has been moved off them or has made progress. */
+    private lost: readonly ServerEntry[] = [];
+    /** Servers that are reported not to compute their layers any longer; some still finish the requests that they run. */
+    private reported: readonly ServerEntry[] = [];
+    private quiet = false;
+    private retryTimer: ReturnType<typeof setTimeout> | undefined;
     private recovering = false;
     private stopped = false;
 
@@ -88,8 +97,8 @@
     ) {
         this.currentPath = supervised.path;
         this.stallDetector = new StallDetector(supervised.limits, {
-            quiet: () => void this.checkServers(),
-            stalled: () => this.abandonForRerun("no event within the stall timeout", []),
+            quiet: () => this.handleQuiet(),
+            stalled: () => this.handleStall(),
         });
         runningAttempts.add(this);
     }
@@ -99,29 +108,59 @@
         return this.currentPath;
     }
 
+    get isLost(): boolean {
+        return this.lost.length > 0;
+    }
+
+    /** Ends any suspicion, after an event has arrived or the caller reads again. */
+    recordProgress(): void {
+        if (!this.stopped) {
+            this.clearSuspicion();
+            this.stallDetector.recordProgress();
+        }
+    }
+
+    /** Suspends stall detection until the next recorded progress, because the caller does not read. */
+    suspend(): void {
+        this.stallDetector.suspend();
+    }
+
     stop(): void {
         this.stopped = true;
+        this.clearSuspicion();
         this.stallDetector.stop();
         this.runningAttempts.remove(this);
     }
 
     /**
-     * Moves the attempt to a path without the unreachable servers, or ends it so that the request is run again. Does
-     * nothing if none of them is on the path, or if an event has arrived since the check started, which proves that
-     * they are alive.
+     * Moves the attempt to a path without the unreachable servers, or starts a new run beside it. Does nothing if none of
+     * them is on the path, or if an event has arrived since the check started, which proves that they are alive.
      */
     async recoverFromUnreachable(servers: readonly ServerEntry[], checkStartedAt: number): Promise<void> {
         const lost = servers.filter(server => this.currentPath.parts.some(part => part.server.id === server.id));
         const hasProgressed = (this.supervised.progress.lastEventAt ?? -Infinity) > checkStartedAt;
         if (!hasProgressed) {
-            await this.recover(lost, "does not accept connections");
+            await this.recover(lost, "does not accept connections", true);
         }
     }
 
-    /** Recovers from servers that were ordered to hold other layers, or that the placement leader reports as lost. */
+    /**
+     * Moves the attempt off servers that were ordered to hold other layers, or that the placement leader reports as lost.
+     * Starts a new run only in a pause.
+     */
     async recheckParts(hasDroppedLayers: (part: LayerPathPart) => boolean): Promise<void> {
-        const lost = this.currentPath.parts.filter(hasDroppedLayers).map(({ server }) => server);
-        await this.recover(lost, "no longer computes its layers");
+        this.reported = this.currentPath.parts.filter(hasDroppedLayers).map(({ server }) => server);
+        await this.recoverFromReported();
+    }
+
+    private async recoverFromReported(): Promise<void> {
+        await this.recover(this.reported, "no longer computes its layers", this.quiet);
+    }
+
+    private handleQuiet(): void {
+        this.quiet = true;
+        void this.recoverFromReported();
+        void this.checkServers();
     }
 
     private async checkServers(): Promise<void> {
@@ -135,36 +174,51 @@
         this.runningAttempts.reportUnreachable(unreachable, checkStartedAt);
     }
 
-    private async recover(lost: readonly ServerEntry[], reason: string): Promise<void> {
+    private handleStall(): void {
+        if (!this.isLost) {
+            this.startRival(this.chooseRivalPath());
+        }
+    }
+
+    private async recover(lost: readonly ServerEntry[], reason: string, startsRival: boolean): Promise<void> {
         if (lost.length === 0 || this.recovering || this.stopped) {
             return;
         }
-        this.recovering = true;
-        const outcome = await this.chooseAndApplyRecovery(lost, reason);
-        this.recovering = false;
-        if (outcome === RecoveryAction.rerun) {
-            this.abandonForRerun(`a backend server on the path ${reason}`, lost);
+        if (startsRival) {
+            this.lost = lost;
+        }
+        if (!this.supervised.hasRival()) {
+            this.recovering = true;
+            await this.moveOrStartRival(lost, reason);
+            this.recovering = false;
+        }
+        else if (startsRival) {
+            this.startRival(this.chooseRivalPath());
         }
     }
 
-    /**
-     * Returns the resulting action: `move` if the move succeeded, `rerun` if the attempt has to be ended so that the
-     * request is run again, or `wait`.
-     */
-    private async chooseAndApplyRecovery(lost: readonly ServerEntry[], reason: string): Promise<RecoveryAction> {
+    private async moveOrStartRival(lost: readonly ServerEntry[], reason: string): Promise<void> {
         const { supervised, dependencies, currentPath: path } = this;
         const lostIds = new Set(lost.map(({ id }) => id));
         // Before the first event there is no KV cache that would justify a move.
         const replacement = supervised.progress.lastEventId === undefined
             ? undefined
             : supervised.chooseReplacement(path, lostIds);
-        const mayRerun = supervised.mayRerun();
-        const newPath = mayRerun ? supervised.choosePath(lostIds) : undefined;
+        const newPath = this.chooseRivalPath(lostIds);
         const action = dependencies.recoveryPolicy.choose({ path, replacement, newPath });
+        // Starts in the same turn in which the budget allows it, before other attempts look at the budget.
+        if (action !== RecoveryAction.move) {
+            this.startRivalIfLost(newPath);
+        }
         const outcome = action === RecoveryAction.move ? await this.move(path, replacement!) : action;
         const moved = outcome === OrderOutcome.begun || outcome === OrderOutcome.alreadyHeld;
         if (moved) {
             this.currentPath = replacement!;
+            this.lost = [];
+            this.reported = [];
+        }
+        else if (action === RecoveryAction.move) {
+            this.startRivalIfLost(this.chooseRivalPath());
         }
         dependencies.metrics.increment("pomelostall.gateway.lost_parts", 1, { replaced: String(moved) });
         this.log(
@@ -173,7 +227,6 @@
             action,
             outcome,
         );
-        return moved ? RecoveryAction.move : mayRerun ? RecoveryAction.rerun : RecoveryAction.wait;
     }
 
     /** Orders the path change. Returns the outcome of the order, or the text of the error if it got no response. */
@@ -187,10 +240,41 @@
         }
     }
 
-    private abandonForRerun(reason: string, lost: readonly ServerEntry[]): void {
-        if (!this.stopped && this.supervised.mayRerun()) {
-            this.supervised.attempt.abandon(reason, lost);
+    /** By default, avoids the lost servers or, after a stall, all servers of this path. */
+    private chooseRivalPath(avoided: ReadonlySet<string> = this.suspectedServers): LayerPath | undefined {
+        return this.supervised.mayStartRival() ? this.supervised.choosePath(avoided) : undefined;
+    }
+
+    private get suspectedServers(): ReadonlySet<string> {
+        const suspected = this.isLost ? this.lost : this.currentPath.parts.map(({ server }) => server);
+        return new Set(suspected.map(({ id }) => id));
+    }
+
+    private startRivalIfLost(path: LayerPath | undefined): void {
+        if (this.isLost) {
+            this.startRival(path);
+        }
+    }
+
+    /** Starts a new run on the path, and tries again after a growing delay for as long as the suspicion remains. */
+    private startRival(path: LayerPath | undefined, retryMilliseconds = initialRetryMilliseconds): void {
+        if (this.stopped || !this.supervised.request.route.resumable) {
+            return;
         }
+        if (path !== undefined) {
+            this.supervised.startRival(path, this.suspectedServers);
+        }
+        clearTimeout(this.retryTimer);
+        this.retryTimer = setTimeout(
+            () => this.startRival(this.chooseRivalPath(), Math.min(maximumRetryMilliseconds, 2 * retryMilliseconds)),
+            retryMilliseconds,
+        );
+    }
+
+    private clearSuspicion(): void {
+        this.quiet = false;
+        this.lost = [];
+        clearTimeout(this.retryTimer);
     }
 
     private log(chosen: LayerPath | undefined, reason: string, action: RecoveryAction, outcome: string): void {
--- /dev/null
+++ b/src/request/gateway/competing-runs.ts
@@ -0,0 +1,63 @@
+/**
+ * The runs of one stream: usually one; two while a suspected run and the new run that may replace it compete to deliver the
+ * next event.
+ */
+import { AttemptEnd, type AttemptResult } from "./stream-attempt.js";
+
+export interface CompetingRun {
+    /** Resolves once, however the run ends; never rejects. */
+    readonly result: Promise<AttemptResult>;
+    end(end: AttemptEnd, reason: string): void;
+}
+
+export interface EndedRun<Run> {
+    readonly run: Run;
+    readonly result: AttemptResult;
+}
+
+export class CompetingRuns<Run extends CompetingRun> {
+    private readonly running = new Set<Run>();
+    private readonly ended: EndedRun<Run>[] = [];
+    private reportEnd: (() => void) | undefined;
+
+    get count(): number {
+        return this.running.size;
+    }
+
+    add(run: Run): void {
+        this.running.add(run);
+        void run.result.then(result => {
+            this.running.delete(run);
+            this.ended.push({ run, result });
+            this.reportEnd?.();
+        });
+    }
+
+    /** Returns the other run, if there is one. */
+    rivalOf(run: Run): Run | undefined {
+        return [...this.running].find(candidate => candidate !== run);
+    }
+
+    /** Ends the other run, if there is one. */
+    endRivalOf(run: Run, end: AttemptEnd, reason: string): void {
+        const rival = this.rivalOf(run);
+        if (rival !== undefined) {
+            this.running.delete(rival);
+            rival.end(end, reason);
+        }
+    }
+
+    endAll(): void {
+        this.running.forEach(run => run.end(AttemptEnd.cancelled, "the request has ended"));
+    }
+
+    /** Resolves to the next run that has ended, in the order in which they ended. */
+    async nextEnd(): Promise<EndedRun<Run>> {
+        if (this.ended.length === 0) {
+            await new Promise<void>(resolve => {
+                this.reportEnd = resolve;
+            });
+        }
+        return this.ended.shift()!;
+    }
+}
--- a/src/request/gateway/gateway-handler.ts
+++ b/src/request/gateway/gateway-handler.ts
@@ -23,7 +23,7 @@
 import { watchDisconnection } from "../http/caller-disconnection.js";
 import { CallerResponse } from "./caller-response.js";
 import type { PlainForwarder } from "./plain-forwarder.js";
-import { pollUntilDefined } from "./poll-until-defined.js";
+import { pollUntilDefined, shortWaitEnd } from "./poll-until-defined.js";
 import type { StreamForwarder } from "./stream-forwarder.js";
 import type { GatewayRequest } from "./types.js";
 
@@ -126,8 +126,7 @@
     ): Promise<GatewayConfigurationIndex> {
         const callerTimeout = Number(headerText(message, this.dependencies.dialect.headers.deadline) ?? 0);
         const version = await pollUntilDefined(() => this.dependencies.configurationIndex(), {
-            since: monotonicNow(),
-            callerTimeoutMilliseconds: callerTimeout || 0,
+            until: shortWaitEnd(monotonicNow(), callerTimeout || 0),
             callerGone,
         });
         if (version === undefined) {
--- a/src/request/gateway/poll-until-defined.ts
+++ b/src/request/gateway/poll-until-defined.ts
@@ -1,4 +1,4 @@
-/** Polls for a value that is expected shortly, for at most 1 s or a small share of the caller's timeout. */
+/** Polls for a value that is expected shortly. */
 import { delay, monotonicNow } from "../../common/clock.js";
 import { CallerGoneError, Outcome } from "../../errors/index.js";
 
@@ -9,31 +9,33 @@
 const pollIntervalMilliseconds = 25;
 
 export interface WaitLimits {
-    /**
-     * Monotonic time since which the caller has received nothing. Successive waits for one request that pass the same
-     * time share one limit.
-     */
-    readonly since: number;
-    /** The caller's timeout for the whole request. */
-    readonly callerTimeoutMilliseconds: number;
+    /** Monotonic time in milliseconds at which the wait ends. */
+    readonly until: number;
     readonly callerGone: AbortSignal;
 }
 
 /**
- * Returns the first defined result, or undefined once the limit has passed. Rejects with CallerGoneError once
+ * Returns the monotonic time until which a request may wait that has received nothing since the given time: for at most 1 s
+ * or a small share of the caller's timeout. Successive waits that pass the same time share one limit.
+ */
+export function shortWaitEnd(since: number, callerTimeoutMilliseconds: number): number {
+    return since + Math.min(maximumWaitMilliseconds, callerTimeoutMilliseconds * callerTimeoutShare);
+}
+
+/**
+ * Returns the first defined result, or undefined once the wait has ended. Rejects with CallerGoneError once
  * the caller has disconnected.
  */
 export async function pollUntilDefined<Value>(
     poll: () => Value | undefined,
-    { since, callerTimeoutMilliseconds, callerGone }: WaitLimits,
+    { until, callerGone }: WaitLimits,
 ): Promise<Value | undefined> {
-    const waitEnd = since + Math.min(maximumWaitMilliseconds, callerTimeoutMilliseconds * callerTimeoutShare);
     for (;;) {
         if (callerGone.aborted) {
             throw new CallerGoneError(Outcome.unknown);
         }
         const value = poll();
-        if (value !== undefined || monotonicNow() >= waitEnd) {
+        if (value !== undefined || monotonicNow() >= until) {
             return value;
         }
         await delay(pollIntervalMilliseconds, callerGone);
--- a/src/request/gateway/stall-limits.ts
+++ b/src/request/gateway/stall-limits.ts
@@ -9,7 +9,7 @@
 const defaultMaximumEventGapMilliseconds = 200;
 /** Leaves two thirds of the maximum event gap for the reachability check and for a prefill on another path. */
 const quietThresholdShare = 0.35;
-/** Half of the 2 s gap after which callers abandon a stream. */
+/** Half of the shortest gap after which callers abandon a stream. */
 const stallTimeoutMilliseconds = 1_000;
 /** Under light load, first events arrive within a fifth of the target latency. */
 const firstEventQuietThresholdShare = 0.3;
@@ -18,6 +18,20 @@
 /** Callers wait for the first event for four times the target latency. */
 const maximumFirstEventStallShare = 1.6;
 
+/** Callers abandon a stream after a gap without events of this length, or of these multiples, whichever is longest. */
+const minimumPatienceMilliseconds = 2_000;
+const patienceInTargetLatencies = 4;
+const patienceInEventGaps = 8;
+
+/** Time without an event after which callers abandon a stream of the route, in milliseconds. */
+export function callerPatienceMilliseconds(route: GatewayRoute): number {
+    return Math.max(
+        minimumPatienceMilliseconds,
+        patienceInTargetLatencies * route.targetLatencyMilliseconds,
+        patienceInEventGaps * (route.maximumEventGapMilliseconds ?? 0),
+    );
+}
+
 /**
  * `firstEventUpperBound` is the time in milliseconds that hardly any recent first event of the service has exceeded;
  * undefined if none has been measured.
--- a/src/request/gateway/stream-attempt.ts
+++ b/src/request/gateway/stream-attempt.ts
@@ -23,8 +23,10 @@
     broken: "broken",
     /** The backend server sent a complete error response instead of a stream. */
     failure: "failure",
-    /** Ended by the gateway because the stream stalled or a server of its path was lost. */
-    stalled: "stalled",
+    /** Ended by the gateway because a server of its path was lost and a new run has taken its place. */
+    lost: "lost",
+    /** Ended by the gateway because another run of the request has delivered the next event. */
+    superseded: "superseded",
     /** Ended by the gateway because the caller disconnected or the deadline passed. */
     cancelled: "cancelled",
 } as const;
@@ -39,8 +41,6 @@
     readonly body?: Buffer;
     /** Whether the runtime refused to send the request, which says nothing about the servers of the path. */
     readonly unsendable?: boolean;
-    /** Servers of the path that accept no connections or no longer compute their layers. */
-    readonly lostServers?: readonly ServerEntry[];
 }
 
 export interface AttemptObserver {
@@ -86,9 +86,9 @@
         });
     }
 
-    /** Ends the attempt as stalled; `lostServers` lists the servers that caused it, if any are known. */
-    abandon(reason: string, lostServers: readonly ServerEntry[]): void {
-        this.finish({ end: AttemptEnd.stalled, reason, lostServers });
+    /** Ends the attempt on behalf of the gateway; the backend server is made to abandon it. */
+    end(end: AttemptEnd, reason: string): void {
+        this.finish({ end, reason });
     }
 
     pause(): void {
--- a/src/request/gateway/stream-progress.ts
+++ b/src/request/gateway/stream-progress.ts
@@ -1,20 +1,21 @@
 /**
- * Tracks what the caller has received of a stream over all attempts: the head of the response that delivered the first
- * event, and events in order without gaps or duplicates. The head is held back until there is an event to send, so that
- * a request whose attempts all end before that is answered with an error instead of a truncated stream.
+ * Tracks what the caller has received of a stream over all runs: the head of the run that delivered the first event, and
+ * events in order without gaps or duplicates. The head is held back until there is an event to send, so that a request
+ * whose runs all end before that is answered with an error instead of a truncated stream.
  */
 import { monotonicNow } from "../../common/clock.js";
 import type { ResponseHead } from "../../connection/gateway/exchange.js";
 import type { CallerResponse } from "./caller-response.js";
 import type { CompleteEvent } from "./event-splitter.js";
-import type { StallDetector } from "./stall-detector.js";
-import type { AttemptObserver, StreamAttempt } from "./stream-attempt.js";
 
-export class StreamProgress implements AttemptObserver {
-    private attempt: StreamAttempt | undefined;
-    private stallDetector: StallDetector | undefined;
-    /** Head of the current attempt's response; undefined before it has arrived. */
-    private head: ResponseHead | undefined;
+/** The run that delivers events. */
+export interface EventSource {
+    /** Stops events until `resume` is called. */
+    pause(): void;
+    resume(): void;
+}
+
+export class StreamProgress {
     private lastId: string | undefined;
     private firstDeliveredAt: number | undefined;
     private lastDeliveredAt: number | undefined;
@@ -41,43 +42,33 @@
         return this.lastId;
     }
 
-    /** Sets the attempt that now delivers events and the stall detector that monitors it. */
-    attach(attempt: StreamAttempt, stallDetector: StallDetector): void {
-        this.attempt = attempt;
-        this.stallDetector = stallDetector;
+    /** Writes the head unless that of an earlier run has been written. */
+    beginStream(head: ResponseHead): void {
+        if (!this.response.started) {
+            this.response.beginStream(head);
+        }
     }
 
-    streamStarted(head: ResponseHead): void {
-        this.head = head;
+    /** Whether the event is the successor of the last one. */
+    isNext(event: CompleteEvent): boolean {
+        return event.id === undefined || this.lastId === undefined || Number(event.id) === Number(this.lastId) + 1;
     }
 
-    deliver(event: CompleteEvent): boolean {
-        if (event.id !== undefined && this.lastId !== undefined && Number(event.id) !== Number(this.lastId) + 1) {
-            return false;
-        }
+    deliver(event: CompleteEvent, source: EventSource): void {
         this.lastId = event.id ?? this.lastId;
         this.recordEventTime();
-        this.beginResponse();
-        this.stallDetector?.recordProgress();
         if (!this.response.write(event.bytes)) {
-            this.pauseUntilDrained();
+            source.pause();
+            this.response.onceDrained(() => source.resume());
         }
-        return true;
     }
 
-    streamEnded(rest: Buffer): void {
-        this.beginResponse();
+    writeRest(rest: Buffer): void {
         if (rest.length > 0) {
             this.response.write(rest);
         }
     }
 
-    private beginResponse(): void {
-        if (!this.response.started) {
-            this.response.beginStream(this.head!);
-        }
-    }
-
     private recordEventTime(): void {
         const now = monotonicNow();
         this.firstDeliveredAt ??= now;
@@ -85,16 +76,6 @@
         this.lastDeliveredAt = now;
     }
 
-    private pauseUntilDrained(): void {
-        const { attempt, stallDetector } = this;
-        attempt?.pause();
-        stallDetector?.suspend();
-        this.response.onceDrained(() => {
-            stallDetector?.recordProgress();
-            attempt?.resume();
-        });
-    }
-
     end(): void {
         this.response.endStream();
     }
--- a/src/request/gateway/stream-request-handler.ts
+++ b/src/request/gateway/stream-request-handler.ts
@@ -1,8 +1,10 @@
 /**
- * Forwards a stream from the model engines to one caller. If an attempt breaks off and the route is resumable, another
- * attempt runs on a path without the servers at fault and resumes after the last event that the caller has received.
+ * Forwards a stream from the model engines to one caller. If a run breaks off and the route is resumable, another one on a
+ * path without the servers at fault resumes after the last event that the caller has received. If a run is only suspected,
+ * because it is silent or a server of its path is lost, the new run competes with it: whichever delivers the next event
+ * goes on, and the other is ended.
  */
-import { monotonicNow } from "../../common/clock.js";
+import { delay, monotonicNow } from "../../common/clock.js";
 import type { EngineProfile } from "../../domain/gateway/configuration.js";
 import type { Dialect } from "../../domain/gateway/dialect.js";
 import { formatSocketAddress } from "../../domain/gateway/server-entry.js";
@@ -17,16 +19,18 @@
 import type { LocalServerLoad } from "../../process/gateway/local-server-load.js";
 import type { ServerRegistry } from "../../process/gateway/server-registry.js";
 import type { WindowedRetryBudget } from "../../process/gateway/windowed-retry-budget.js";
-import { AttemptSupervisor, type RunningAttempts, type SupervisionDependencies } from "./attempt-supervisor.js";
+import type { RunningAttempts, SupervisionDependencies } from "./attempt-supervisor.js";
 import type { CallerResponse } from "./caller-response.js";
+import { CompetingRuns, type EndedRun } from "./competing-runs.js";
 import { hasPassed } from "./deadline.js";
 import type { GatewayHeaders } from "./headers.js";
 import { addressedParts, formatPath, type LayerPath, type RequestSize } from "./layer-path-finder.js";
-import { pollUntilDefined } from "./poll-until-defined.js";
+import { pollUntilDefined, shortWaitEnd } from "./poll-until-defined.js";
 import type { RetryAdvice } from "./retry-advice.js";
-import { computeStallLimits } from "./stall-limits.js";
-import { AttemptEnd, type AttemptResult, StreamAttempt } from "./stream-attempt.js";
+import { callerPatienceMilliseconds, computeStallLimits } from "./stall-limits.js";
+import { AttemptEnd, type AttemptResult } from "./stream-attempt.js";
 import { StreamProgress } from "./stream-progress.js";
+import { StreamRun } from "./stream-run.js";
 import type { GatewayRequest } from "./types.js";
 
 export interface StreamRequestDependencies extends SupervisionDependencies {
@@ -43,14 +47,17 @@
 const maximumRefusals = 5;
 /** Delay before a request may return to a server that refused it: some requests of a busy engine end in this time. */
 const refusedServerRetryMilliseconds = 100;
+/** Delay after the first refusal of a stream that has begun; doubles with each further refusal. */
+const initialRefusalDelayMilliseconds = 25;
 const serviceUnavailableStatus = 503;
 
 export class StreamRequestHandler {
     private readonly avoidedServers = new Set<string>();
     private readonly progress: StreamProgress;
+    private readonly runs = new CompetingRuns<StreamRun>();
+    private startedRuns = 0;
+    private unexecutedRuns = 0;
     private refusals = 0;
-    /** Attempts that a backend server may have run. */
-    private executions = 0;
 
     constructor(
         private readonly dependencies: StreamRequestDependencies,
@@ -65,59 +72,80 @@
     /** Throws a PomelostallError if the stream could not be completed. */
     async run(): Promise<void> {
         this.dependencies.retries.recordRequest(this.request.service);
-        for (;;) {
-            const chosenPath = await this.choosePath();
-            const startedAt = monotonicNow();
-            const { result, path } = await this.attempt(chosenPath);
-            this.log(path, result, startedAt);
-            if (this.request.callerGone.aborted) {
-                throw new CallerGoneError(this.outcome(result));
-            }
-            if (result.end === AttemptEnd.complete) {
-                path.parts.forEach(({ server }) => this.dependencies.exclusions.recordSuccess(server.id));
-                this.progress.end();
-                return;
-            }
-            this.avoidFaultyServers(path, result);
-            if (this.finishOrRetry(result)) {
-                return;
+        try {
+            this.startRun(await this.choosePath());
+            let finished: boolean;
+            do {
+                finished = await this.handleEnd(await this.runs.nextEnd());
             }
+            while (!finished);
+        }
+        finally {
+            this.runs.endAll();
         }
     }
 
+    /** Returns whether the request is finished. Throws a PomelostallError if it has failed. */
+    private async handleEnd({ run, result }: EndedRun<StreamRun>): Promise<boolean> {
+        this.log(run, result);
+        this.recordFirstEventTime(run, result);
+        if (this.request.callerGone.aborted) {
+            throw new CallerGoneError(this.outcome(result));
+        }
+        if (result.end === AttemptEnd.complete) {
+            run.path.parts.forEach(({ server }) => this.dependencies.exclusions.recordSuccess(server.id));
+            this.progress.end();
+            return true;
+        }
+        this.countRefusal(run, result);
+        this.avoidFaultyServers(run.path, result);
+        return this.runs.count === 0 && await this.finishOrRetry(result);
+    }
+
     private async choosePath(): Promise<LayerPath> {
-        const { request, engine, dependencies } = this;
-        const size = requestSize(request, engine);
-        const chooseAvoiding = (avoided: ReadonlySet<string>) =>
-            dependencies.paths.choose(request.service, engine, size, avoided);
+        const { request } = this;
+        const chooseAvoiding = (avoided: ReadonlySet<string>) => this.choosePathAvoiding(avoided);
         // A server that refused the request for lack of capacity has capacity again when one of its requests ends.
         const includeAvoidedAt = monotonicNow() + refusedServerRetryMilliseconds;
         const findPath = () =>
             chooseAvoiding(this.avoidedServers)
                 ?? (monotonicNow() >= includeAvoidedAt ? chooseAvoiding(new Set()) : undefined);
-        const path = await pollUntilDefined(findPath, {
-            since: this.progress.lastEventAt ?? request.receivedAt,
-            callerTimeoutMilliseconds: request.deadline - request.receivedAt,
-            callerGone: request.callerGone,
-        }) ?? chooseAvoiding(new Set());
+        const until = this.response.started
+            ? this.patienceEnd
+            : shortWaitEnd(request.receivedAt, request.deadline - request.receivedAt);
+        const path = await pollUntilDefined(findPath, { until, callerGone: request.callerGone })
+            ?? chooseAvoiding(new Set());
         if (path === undefined) {
             this.failRequest("no path of available backend servers covers all layers");
         }
         return path;
     }
 
-    /** Runs one attempt. Returns how it ended, and its last path, which differs from `path` after a move. */
-    private async attempt(path: LayerPath): Promise<{ result: AttemptResult; path: LayerPath; }> {
-        const { request, dependencies, progress } = this;
+    private choosePathAvoiding(avoided: ReadonlySet<string>): LayerPath | undefined {
+        const { request, engine } = this;
+        return this.dependencies.paths.choose(request.service, engine, requestSize(request, engine), avoided);
+    }
+
+    /** Monotonic time in milliseconds at which the caller abandons the stream if it receives no event before. */
+    private get patienceEnd(): number {
+        const { request, progress } = this;
+        const waitingSince = progress.lastEventAt ?? request.receivedAt;
+        return Math.min(request.deadline, waitingSince + callerPatienceMilliseconds(request.route));
+    }
+
+    private startRun(path: LayerPath): void {
+        const { request, engine, dependencies, progress, runs } = this;
+        const { service } = request;
         const server = path.parts[0]!.server;
-        const size = requestSize(request, this.engine);
+        const size = requestSize(request, engine);
         const endLoad = dependencies.load.beginRequest(
             path.parts.map(part => part.server.id),
             size.promptTokens + size.outputTokens,
         );
-        const attempt = new StreamAttempt(
-            server,
-            {
+        const run = new StreamRun(dependencies, this.runningAttempts, {
+            request,
+            path,
+            content: {
                 method: request.method,
                 path: request.target,
                 body: request.body,
@@ -128,58 +156,70 @@
                         lastEventId: progress.lastEventId,
                     }),
             },
-            request.id,
-            dependencies.dialect.headers,
+            headerNames: dependencies.dialect.headers,
+            limits: computeStallLimits(request.route, dependencies.firstEvents.upperBound(service)),
             progress,
-            { deadline: request.deadline, callerGone: request.callerGone },
-        );
-        const sentAt = monotonicNow();
-        const supervisor = this.supervise(path, attempt, size);
-        progress.attach(attempt, supervisor.stallDetector);
-        try {
-            const result = await attempt.result;
-            this.recordFirstEventTime(sentAt, result);
-            return { result, path: supervisor.path };
-        }
-        finally {
-            supervisor.stop();
-            endLoad();
+            runs,
+            mayStartRival: current => this.mayStartRival(current),
+            startRival: (current, rivalPath, avoided) => this.startRival(current, rivalPath, avoided),
+            choosePath: avoided =>
+                this.choosePathAvoiding(new Set([...this.avoidedServers, ...avoided]))
+                    ?? this.choosePathAvoiding(avoided),
+            chooseReplacement: (current, lost) =>
+                dependencies.paths.chooseReplacement(service, engine, size, current, lost),
+        }, monotonicNow());
+        this.startedRuns++;
+        runs.add(run);
+        void run.result.then(endLoad);
+    }
+
+    /** Two runs compete at most; a rival that is lost gives way to another one. */
+    private mayStartRival(run: StreamRun): boolean {
+        const { request, dependencies } = this;
+        return (this.runs.rivalOf(run)?.isLost ?? true)
+            && request.route.resumable
+            && this.executions < request.route.maximumAttempts
+            && this.refusals <= maximumRefusals
+            && dependencies.retries.allows(request.service);
+    }
+
+    private startRival(run: StreamRun, path: LayerPath, avoided: ReadonlySet<string>): boolean {
+        if (!this.mayStartRival(run) || !this.dependencies.retries.tryConsume(this.request.service)) {
+            return false;
         }
+        this.runs.endRivalOf(run, AttemptEnd.lost, "a backend server on the path is lost");
+        avoided.forEach(id => this.avoidedServers.add(id));
+        this.startRun(path);
+        return true;
     }
 
     /**
-     * Records the time to the first event. An attempt that stalled before its first event counts with its duration, a
-     * lower bound of that time.
+     * Records the time to the first event. A run that ends before it counts with its duration, a lower bound of that time,
+     * if another run has delivered the event.
      */
-    private recordFirstEventTime(sentAt: number, result: AttemptResult): void {
+    private recordFirstEventTime(run: StreamRun, { end }: AttemptResult): void {
         const { progress, dependencies, request } = this;
-        const stalledWhileReachable = result.end === AttemptEnd.stalled && result.lostServers?.length === 0;
-        const firstEventOrStallAt = progress.firstEventAt ?? (stalledWhileReachable ? monotonicNow() : undefined);
-        if (firstEventOrStallAt !== undefined && firstEventOrStallAt > sentAt) {
-            dependencies.firstEvents.record(request.service, firstEventOrStallAt - sentAt);
+        const { firstEventAt } = progress;
+        if (firstEventAt !== undefined && firstEventAt > run.startedAt && end !== AttemptEnd.lost) {
+            dependencies.firstEvents.record(request.service, firstEventAt - run.startedAt);
         }
     }
 
-    private supervise(path: LayerPath, attempt: StreamAttempt, size: RequestSize): AttemptSupervisor {
-        const { request, engine, dependencies, progress } = this;
-        const { route, service } = request;
-        return new AttemptSupervisor(dependencies, this.runningAttempts, {
-            request,
-            attempt,
-            path,
-            size,
-            progress,
-            limits: computeStallLimits(route, dependencies.firstEvents.upperBound(service)),
-            mayRerun: () =>
-                route.resumable && this.executions + 1 < route.maximumAttempts && dependencies.retries.allows(service),
-            choosePath: avoided =>
-                dependencies.paths.choose(service, engine, size, new Set([...this.avoidedServers, ...avoided])),
-            chooseReplacement: (current, lost) =>
-                dependencies.paths.chooseReplacement(service, engine, size, current, lost),
-        });
+    private countRefusal(run: StreamRun, { end }: AttemptResult): void {
+        if (end === AttemptEnd.notRun) {
+            this.refusals++;
+        }
+        if (end === AttemptEnd.notRun || (end === AttemptEnd.superseded && !run.hasStarted)) {
+            this.unexecutedRuns++;
+        }
     }
 
-    /** Excludes the servers at fault from the paths of later attempts. */
+    /** Runs that a backend server may have executed, including those that go on. */
+    private get executions(): number {
+        return this.startedRuns - this.unexecutedRuns;
+    }
+
+    /** Excludes the servers at fault from the paths of later runs. */
     private avoidFaultyServers(path: LayerPath, result: AttemptResult): void {
         const atFault = this.serverAtFault(result);
         const firstServerId = path.parts[0]!.server.id;
@@ -187,10 +227,7 @@
             this.avoidedServers.add(atFault ?? firstServerId);
             this.recordRefusal(atFault ?? firstServerId, result);
         }
-        else if (result.lostServers !== undefined && result.lostServers.length > 0) {
-            result.lostServers.forEach(({ id }) => this.avoidedServers.add(id));
-        }
-        else if (result.end === AttemptEnd.broken || result.end === AttemptEnd.stalled) {
+        else if (result.end === AttemptEnd.broken) {
             path.parts.forEach(part => this.avoidedServers.add(part.server.id));
         }
     }
@@ -216,30 +253,41 @@
     }
 
     /**
-     * Returns true if the backend server's error response was forwarded to the caller, and false if another attempt is
-     * allowed. Throws otherwise.
+     * Returns true if the backend server's error response was forwarded to the caller, and false if another run has been
+     * started. Throws otherwise.
      */
-    private finishOrRetry(result: AttemptResult): boolean {
-        const { request, dependencies } = this;
+    private async finishOrRetry(result: AttemptResult): Promise<boolean> {
+        const { request } = this;
         if (hasPassed(request.deadline)) {
             this.abortWith(new DeadlineExceededError(this.outcome(result)));
         }
-        if (result.end === AttemptEnd.notRun) {
-            this.refusals++;
-        }
-        else {
-            this.executions++;
-        }
         const exhausted = this.executions >= request.route.maximumAttempts || this.refusals > maximumRefusals;
         const retryable = this.executions === 0 || request.route.resumable;
-        if (exhausted || !retryable || !dependencies.retries.tryConsume(request.service)) {
-            if (result.end === AttemptEnd.failure && !this.response.started) {
-                this.response.writeBuffered(result.head!, result.body!);
-                return true;
-            }
-            this.failRequest(result.reason);
+        if (!exhausted && retryable && await this.reserveRetry(result)) {
+            this.startRun(await this.choosePath());
+            return false;
+        }
+        if (result.end === AttemptEnd.failure && !this.response.started) {
+            this.response.writeBuffered(result.head!, result.body!);
+            return true;
+        }
+        return this.failRequest(result.reason);
+    }
+
+    /**
+     * Consumes one retry of the budget; returns whether one was left. A stream that has begun can no longer be refused, so
+     * its retry is awaited for as long as the caller has patience, and delayed after a refusal.
+     */
+    private async reserveRetry({ end }: AttemptResult): Promise<boolean> {
+        const { service, callerGone } = this.request;
+        const tryConsume = () => this.dependencies.retries.tryConsume(service) || undefined;
+        if (!this.response.started) {
+            return tryConsume() !== undefined;
+        }
+        if (end === AttemptEnd.notRun) {
+            await delay(initialRefusalDelayMilliseconds * 2 ** (this.refusals - 1), callerGone);
         }
-        return false;
+        return await pollUntilDefined(tryConsume, { until: this.patienceEnd, callerGone }) !== undefined;
     }
 
     private outcome(lastResult: AttemptResult): Outcome {
@@ -272,7 +320,7 @@
         throw error;
     }
 
-    private log(path: LayerPath, result: AttemptResult, startedAt: number): void {
+    private log({ path, startedAt }: StreamRun, result: AttemptResult): void {
         this.dependencies.metrics.increment("pomelostall.gateway.stream_attempts", 1, { outcome: result.end });
         this.dependencies.logger.decision({
             kind: "stream-attempt",
--- /dev/null
+++ b/src/request/gateway/stream-run.ts
@@ -0,0 +1,127 @@
+/**
+ * One run of a stream on one path: the attempt, the supervision of its progress, and its part of the servers' load. Nothing of
+ * its response reaches the caller before its first event, since another run may compete with it and only one of the two
+ * heads can be forwarded.
+ */
+import type { ExchangeRequest, ResponseHead } from "../../connection/gateway/exchange.js";
+import type { HeaderNames } from "../../domain/gateway/dialect.js";
+import { AttemptSupervisor, type RunningAttempts, type SupervisionDependencies } from "./attempt-supervisor.js";
+import type { CompetingRun, CompetingRuns } from "./competing-runs.js";
+import type { CompleteEvent } from "./event-splitter.js";
+import type { LayerPath } from "./layer-path-finder.js";
+import type { StallLimits } from "./stall-detector.js";
+import { AttemptEnd, type AttemptObserver, type AttemptResult, StreamAttempt } from "./stream-attempt.js";
+import type { EventSource, StreamProgress } from "./stream-progress.js";
+import type { GatewayRequest } from "./types.js";
+
+export interface StreamRunOptions {
+    readonly request: GatewayRequest;
+    readonly path: LayerPath;
+    readonly content: ExchangeRequest;
+    readonly headerNames: HeaderNames;
+    readonly limits: StallLimits;
+    readonly progress: StreamProgress;
+    readonly runs: CompetingRuns<StreamRun>;
+    /** Whether the route, the attempt limit and the retry budget allow another run beside this one. */
+    mayStartRival(run: StreamRun): boolean;
+    /** Starts another run on the path if that is still allowed; returns whether it has. */
+    startRival(run: StreamRun, path: LayerPath, avoided: ReadonlySet<string>): boolean;
+    /** Chooses the path for a new run without the servers in `avoided`. */
+    choosePath(avoided: ReadonlySet<string>): LayerPath | undefined;
+    /** Chooses a path that keeps all parts except those of the lost servers. */
+    chooseReplacement(path: LayerPath, lost: ReadonlySet<string>): LayerPath | undefined;
+}
+
+export class StreamRun implements CompetingRun, AttemptObserver, EventSource {
+    readonly result: Promise<AttemptResult>;
+    private readonly attempt: StreamAttempt;
+    private readonly supervisor: AttemptSupervisor;
+    private head: ResponseHead | undefined;
+
+    constructor(
+        dependencies: SupervisionDependencies,
+        runningAttempts: RunningAttempts,
+        private readonly options: StreamRunOptions,
+        /** Monotonic time in milliseconds. */
+        readonly startedAt: number,
+    ) {
+        const { request, path, progress } = options;
+        this.attempt = new StreamAttempt(
+            path.parts[0]!.server,
+            options.content,
+            request.id,
+            options.headerNames,
+            this,
+            { deadline: request.deadline, callerGone: request.callerGone },
+        );
+        this.supervisor = new AttemptSupervisor(dependencies, runningAttempts, {
+            request,
+            path,
+            progress,
+            limits: options.limits,
+            hasRival: () => options.runs.rivalOf(this) !== undefined,
+            mayStartRival: () => options.mayStartRival(this),
+            startRival: (rivalPath, avoided) => options.startRival(this, rivalPath, avoided),
+            choosePath: avoided => options.choosePath(avoided),
+            chooseReplacement: (current, lost) => options.chooseReplacement(current, lost),
+        });
+        this.result = this.attempt.result.then(result => {
+            this.supervisor.stop();
+            return result;
+        });
+    }
+
+    /** The current path, which differs from the original path after a move. */
+    get path(): LayerPath {
+        return this.supervisor.path;
+    }
+
+    /** Whether a server of the path is lost, and the run has neither been moved off it nor made progress since. */
+    get isLost(): boolean {
+        return this.supervisor.isLost;
+    }
+
+    /** Whether a valid response head of a stream has arrived. */
+    get hasStarted(): boolean {
+        return this.head !== undefined;
+    }
+
+    end(end: AttemptEnd, reason: string): void {
+        this.attempt.end(end, reason);
+    }
+
+    streamStarted(head: ResponseHead): void {
+        this.head = head;
+    }
+
+    deliver(event: CompleteEvent): boolean {
+        const { progress } = this.options;
+        if (!progress.isNext(event)) {
+            return false;
+        }
+        this.win();
+        this.supervisor.recordProgress();
+        progress.deliver(event, this);
+        return true;
+    }
+
+    streamEnded(rest: Buffer): void {
+        this.win();
+        this.options.progress.writeRest(rest);
+    }
+
+    pause(): void {
+        this.attempt.pause();
+        this.supervisor.suspend();
+    }
+
+    resume(): void {
+        this.supervisor.recordProgress();
+        this.attempt.resume();
+    }
+
+    private win(): void {
+        this.options.runs.endRivalOf(this, AttemptEnd.superseded, "another run has delivered the next event");
+        this.options.progress.beginStream(this.head!);
+    }
+}
--- a/test/platform/silent-streams.test.ts
+++ b/test/platform/silent-streams.test.ts
@@ -1,6 +1,6 @@
 import { afterEach, beforeEach, describe, expect, jest, test } from "@jest/globals";
 import type { GatewaySettings } from "../../src/process/gateway/settings.js";
-import { GatewayFixture } from "./gateway-fixture.js";
+import { configuration, GatewayFixture } from "./gateway-fixture.js";
 import { type Behavior, StandInBackendServer } from "./stand-ins/backend-server.js";
 
 /** Longer than the stall timeout within a stream, shorter than the patience of callers. */
@@ -19,8 +19,8 @@
 const serverWithRun = () => fixture.servers.find(({ received }) => received.length > 0)!;
 const others = (server: StandInBackendServer) => fixture.servers.filter(candidate => candidate !== server);
 
-async function startFixture(bounds: Partial<GatewaySettings["bounds"]> = {}): Promise<void> {
-    const servers = ["", "-copy"].flatMap(suffix =>
+async function startFixture(bounds: Partial<GatewaySettings["bounds"]> = {}, copies = 2): Promise<void> {
+    const servers = Array.from({ length: copies }, (_value, index) => `-${index}`).flatMap(suffix =>
         [0, 10].map(from => {
             const server = new StandInBackendServer(`engine-${from}${suffix}`, "pool");
             server.layers = { from, target: from + 10 };
@@ -105,6 +105,24 @@
         expect(others(server).flatMap(({ received }) => received)).toHaveLength(1);
     });
 
+    test("may still be run again after its new run has been cancelled before it began", async () => {
+        await startFixture();
+        setBehavior("break-first-run");
+        setSilence(3);
+        const response = sendStream();
+        await fixture.waitUntil(() => runCount() > 0);
+        const server = serverWithRun();
+        const setBehaviorOfOthers = (behavior: Behavior) =>
+            others(server).forEach(other => {
+                other.behavior = behavior;
+            });
+        setBehaviorOfOthers("mute");
+        await fixture.waitUntil(() => runCount() === 2);
+        setBehaviorOfOthers("answer");
+        expect(await response).toMatchObject(complete);
+        expect(runCount()).toBe(3);
+    });
+
     test("is completed by this server if it is silent before the first event and the new run is refused", async () => {
         await startFixture();
         setSilence(1);
@@ -137,26 +155,54 @@
     });
 });
 
-describe("when a server is reported without its layers and the budget has one retry left", () => {
-    test("one of its streams is run again and the others go on", async () => {
+describe("streams on a server that is reported without its layers", () => {
+    async function startStreams(count: number) {
+        const responses = Array.from({ length: count }, (_value, index) => sendStream(`attempt-${index}`));
+        await fixture.waitUntil(() => runCount() === count);
+        await pause(150);
+        const [busiest] = [...fixture.servers].sort((left, right) => right.received.length - left.received.length);
+        await fixture.sendPlacementNotice([{ id: busiest!.id, bornAt: 1, layers: undefined, lost: false }]);
+        return Promise.all(responses);
+    }
+
+    test("all go on if they are silent for a moment, and one is run again if the budget has one retry left", async () => {
         await startFixture({ retryRatio: 0, retryExtra: 1.25 });
+        setSilence(4, 800);
+        for (const response of await startStreams(6)) {
+            expect(response).toMatchObject(complete);
+        }
+        expect(runCount()).toBe(7);
+    });
+
+    test("are not run again while they make progress", async () => {
+        await startFixture();
         fixture.servers.forEach(server => {
             server.eventMilliseconds = 60;
         });
-        const responses = Array.from({ length: 6 }, (_value, index) => sendStream(`attempt-${index}`));
-        await fixture.waitUntil(() => runCount() === 6);
-        await pause(150);
-        const busiest = fixture.servers.reduce((most, server) =>
-            server.received.length > most.received.length ? server : most
-        );
-        await fixture.sendPlacementNotice([{ id: busiest.id, bornAt: 1, layers: undefined, lost: false }]);
-        for (const response of await Promise.all(responses)) {
+        for (const response of await startStreams(6)) {
             expect(response).toMatchObject(complete);
         }
-        expect(runCount()).toBe(7);
+        expect(runCount()).toBe(6);
     });
 });
 
+test("a stream whose new run is on a lost server too is run a third time", async () => {
+    await startFixture({}, 3);
+    const routes = (configuration(2)["routes"] as object[]).map(route => ({ ...route, max_attempts: 3 }));
+    fixture.publish(2, { routes });
+    await pause(300);
+    setSilence(4, 6_000);
+    const { response, server } = await startStream("mute");
+    const reportLost = (lost: StandInBackendServer) =>
+        fixture.sendPlacementNotice([{ id: lost.id, bornAt: 1, layers: undefined, lost: true }]);
+    await reportLost(server);
+    await fixture.waitUntil(() => runCount() === 2);
+    setBehavior("answer");
+    await reportLost(others(server).find(({ received }) => received.length > 0)!);
+    expect(await response).toMatchObject(complete);
+    expect(runCount()).toBe(3);
+});
+
 describe("a stream whose run has broken off", () => {
     test("is completed after the servers have refused its new run for a time", async () => {
         await startFixture();
