Hold back the router's answer in the test of the newest notice instead of timing it

The test failed once beside other work: a router answered 60 ms after its notice, and the five rounds of 5 ms were expected to be over by then. The answer is now held until all rounds have been sent, and nothing may be sent before it. As strict: without the guard in the sender it fails.

--- a/test/connection/gateway/peer-notices.test.ts
+++ b/test/connection/gateway/peer-notices.test.ts
@@ -41,6 +41,12 @@
 const createSender = (routers: readonly SocketAddress[]) => new HttpNoticeSender(() => routers, new SilentLogger());
 const pause = (milliseconds: number) => new Promise(resolve => setTimeout(resolve, milliseconds));
 
+async function waitUntil(condition: () => boolean): Promise<void> {
+    while (!condition()) {
+        await pause(5);
+    }
+}
+
 // A leader that opened a connection for each notice and silent router ran out of memory.
 test("routers that do not answer hold a bounded number of connections, however many notices follow", async () => {
     await new Promise(resolve => server.close(resolve));
@@ -59,10 +65,10 @@
 
 test("a router whose response is awaited is sent the newest notice next, and none in between", async () => {
     const received: number[] = [];
+    const heldAnswers: (() => void)[] = [];
     answer = socket => {
-        setTimeout(
-            () => socket.write(`HTTP/1.1 200 OK\r\nContent-Length: ${emptyReport.length}\r\n\r\n${emptyReport}`),
-            60,
+        heldAnswers.push(() =>
+            socket.write(`HTTP/1.1 200 OK\r\nContent-Length: ${emptyReport.length}\r\n\r\n${emptyReport}`)
         );
     };
     const sender = createSender(createRouters(1));
@@ -73,7 +79,11 @@
         }, () => undefined);
         await pause(5);
     }
-    await pause(200);
+    await waitUntil(() => heldAnswers.length > 0);
+    expect(received).toEqual([0]);
+    heldAnswers.forEach(send => send());
+    await waitUntil(() => received.length > 1);
+    await pause(50);
     expect(received).toEqual([0, 4]);
 });
 
