Run a stream again whose connection ends before its first event

A stream without length or chunks whose server closes the connection right after the head was taken as complete, as the new rule about such responses has it end at an event's boundary: the caller received an empty stream with status 200 and a clean end, or, if the run resumed a stream that had broken off, a clean end after the events so far.

A run produces one event at least, and the end of a connection is the weakest sign of completeness: it also follows the end of the server's process. A run without framing and without an event is now broken off, so that it is run again if the route allows it, and ends incomplete otherwise. Runs with framing are judged as before.

What remains: a server that ends with FIN exactly after an event of such a stream looks complete, as the protocol marks the end in no other way: events carry no mark of the last one, and X-Token-Counts states only a maximum. A run that resumes a stream after its last event and ends its connection without an event counts as broken off, too.

--- a/src/request/gateway/stream-attempt.ts
+++ b/src/request/gateway/stream-attempt.ts
@@ -8,6 +8,7 @@
     type ExchangeRequest,
     type ResponseHead,
 } from "../../connection/gateway/exchange.js";
+import { ResponseFraming } from "../../connection/gateway/response-framing.js";
 import type { HeaderNames } from "../../domain/gateway/dialect.js";
 import type { ServerEntry } from "../../domain/gateway/server-entry.js";
 import { type ConnectionFailedError, ConnectionFailure } from "../../errors/index.js";
@@ -15,7 +16,7 @@
 import { checkResponse, ResponseVerdict } from "./response-check.js";
 
 export const AttemptEnd = {
-    /** The stream ended, and not inside an event. */
+    /** The stream ended, and not inside an event; without framing, not before its first event either. */
     complete: "complete",
     /** The backend server did not run the request. */
     notRun: "not-run",
@@ -65,6 +66,7 @@
     private head: ResponseHead | undefined;
     private readonly errorBody: Buffer[] = [];
     private errorBodyBytes = 0;
+    private hasDelivered = false;
     /** Resolves once, however the attempt ends; never rejects. */
     readonly result: Promise<AttemptResult> = new Promise(resolve => {
         this.resolveResult = resolve;
@@ -130,6 +132,7 @@
                 });
                 return;
             }
+            this.hasDelivered = true;
         }
         if (this.splitter.exceedsMaximumSize) {
             this.finish({ end: AttemptEnd.broken, reason: "unterminated event exceeds the maximum event size" });
@@ -144,6 +147,9 @@
         else if (this.splitter.hasIncompleteEvent) {
             this.finish({ end: AttemptEnd.broken, reason: "response ended inside an event" });
         }
+        else if (this.head!.framing === ResponseFraming.untilClose && !this.hasDelivered) {
+            this.finish({ end: AttemptEnd.broken, reason: "connection ended before the first event" });
+        }
         else {
             this.observer.streamEnded(this.splitter.takeRest());
             this.finish({ end: AttemptEnd.complete, reason: "complete" });
--- a/test/platform/stand-ins/backend-server.ts
+++ b/test/platform/stand-ins/backend-server.ts
@@ -1,6 +1,7 @@
 /** A stand-in for a backend server on the target platform: a plain service, or a model engine that holds layers. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
+import { type ConnectionEnd, sendRaw } from "../../support/raw-responses.js";
 
 export type Behavior =
     | "answer"
@@ -48,6 +49,14 @@
     endedAt: number | undefined;
 }
 
+export interface RawResponse {
+    readonly bytes: string;
+    readonly end: ConnectionEnd;
+}
+
+/** Returns undefined for a request that is handled as usual; `proof` are the header lines of a valid response. */
+export type CreateRawResponse = (request: IncomingMessage, proof: string) => RawResponse | undefined;
+
 const eventsInStream = 10;
 
 interface EndlessUnit {
@@ -84,6 +93,9 @@
     endlessBytes = 0;
     /** Sends the behavior's endless bytes also as reports and health answers. */
     endlessControl = false;
+    /** Responses that replace those to requests, and with `rawControl` also reports, health answers and orders. */
+    createRawResponse: CreateRawResponse = () => undefined;
+    rawControl = false;
     /** Fails health checks and refuses requests while the registration still says `ready`. */
     leaving = false;
     private acceptedOrders = 0;
@@ -135,6 +147,9 @@
             this.sendWithoutEnd(request, endlessUnits[this.behavior]!);
             return;
         }
+        if (this.rawControl && this.sendRawResponse(request)) {
+            return;
+        }
         if (request.url === "/report") {
             const report = { busy: false, seq: this.acceptedOrders, born: 1, layers: this.layers };
             response.end(JSON.stringify(report));
@@ -178,6 +193,9 @@
     }
 
     private async sendResponse(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        if (this.sendRawResponse(request)) {
+            return;
+        }
         const unit = endlessUnits[this.behavior];
         if (unit !== undefined) {
             this.sendWithoutEnd(request, unit);
@@ -221,9 +239,21 @@
         await this.stream(request, response, headers);
     }
 
+    private sendRawResponse(request: IncomingMessage): boolean {
+        const response = this.createRawResponse(request, this.proofLines(request));
+        if (response !== undefined) {
+            sendRaw(request.socket, response.bytes, response.end);
+        }
+        return response !== undefined;
+    }
+
+    private proofLines({ headers }: IncomingMessage): string {
+        return `X-Attempt-Id: ${String(headers["x-attempt-id"])}\r\nX-Replica-Seal: seal-${this.id}\r\n`;
+    }
+
     /** Sends the start and then repeats the unit as fast as the connection takes it. */
-    private sendWithoutEnd({ socket, headers }: IncomingMessage, { start, unit }: EndlessUnit): void {
-        const proof = `X-Attempt-Id: ${String(headers["x-attempt-id"])}\r\nX-Replica-Seal: seal-${this.id}\r\n`;
+    private sendWithoutEnd(request: IncomingMessage, { start, unit }: EndlessUnit): void {
+        const { socket } = request;
         const block = Buffer.from(unit.repeat(Math.ceil(16_384 / unit.length)));
         const send = () => {
             do {
@@ -234,7 +264,7 @@
         this.endlessConnections++;
         socket.on("close", () => this.endlessConnections--);
         socket.on("drain", send);
-        socket.write(start.replace("PROOF", proof));
+        socket.write(start.replace("PROOF", this.proofLines(request)));
         send();
     }
 
