Reset the connection of a caller of HTTP/1.0 whose stream breaks off

The runtime sends a stream to a caller of HTTP/1.0 without chunks, so that only the end of the connection ends it. A stream that could not be completed was closed in order, and looked complete to such a caller. Callers of HTTP/1.1 see the missing last chunk.

A response without chunks is now reset. Events that the caller has not read by then may be lost with it.

--- a/src/request/gateway/caller-response.ts
+++ b/src/request/gateway/caller-response.ts
@@ -48,6 +48,10 @@
 
     /** Closes the connection before the response is complete, so that the caller sees the truncation. */
     abortConnection(): void {
+        if (!this.response.chunkedEncoding) {
+            // A caller of HTTP/1.0 receives a stream without framing, which an orderly end would complete.
+            this.response.socket?.resetAndDestroy();
+        }
         this.response.destroy();
     }
 
--- a/test/platform/broken-responses.test.ts
+++ b/test/platform/broken-responses.test.ts
@@ -148,6 +148,18 @@
         expect(runs()).toHaveLength(1);
     });
 
+    // The connection's end is the only framing that this version of HTTP has for a stream.
+    test("that breaks off is reset for a caller of HTTP/1.0, and one that is complete ends in order", async () => {
+        await start();
+        const cut = (proof: string) => ({ bytes: streamHead(proof) + insideEvent, end: ConnectionEnd.closedLater });
+        setRuns(cut, cut);
+        expect(await fixture.sendVersion10("POST", "/report-text/1", "prompt")).toMatchObject({ endedInOrder: false });
+        const whole = await fixture.sendVersion10("POST", "/report-text/1", "prompt");
+        expect(whole.endedInOrder).toBe(true);
+        expect(whole.text).toMatch(/^HTTP\/1\.1 200 OK\r\n/);
+        expect(whole.text.endsWith(`\r\n\r\n${completeStream}`)).toBe(true);
+    });
+
     const error = "HTTP/1.1 500 Internal Server Error\r\n";
     const errorText = "engine failed: trace";
     const failures: ((proof: string) => string)[] = [
--- a/test/platform/gateway-fixture.ts
+++ b/test/platform/gateway-fixture.ts
@@ -13,6 +13,7 @@
 } from "../../platform/keys.js";
 import { StoreClient } from "../../platform/store-client.js";
 import { SilentLogger } from "../../src/common/logger.js";
+import { endsInOrder } from "../../src/connection/gateway/orderly-end.js";
 import { encodeNotice, noticePath } from "../../src/connection/gateway/peer-notices.js";
 import { Gateway } from "../../src/daemon/gateway/gateway.js";
 import type { PlacementNotice } from "../../src/domain/gateway/placement-notice.js";
@@ -29,6 +30,13 @@
     readonly complete: boolean;
 }
 
+export interface RawCallerResponse {
+    /** Whether the connection was ended in order rather than reset. */
+    readonly endedInOrder: boolean;
+    /** Head and body as received. */
+    readonly text: string;
+}
+
 const route = {
     host: "yard.example",
     timeout_ms: 1_000,
@@ -209,6 +217,27 @@
         });
     }
 
+    /** Sends a request of HTTP/1.0. */
+    async sendVersion10(method: string, path: string, body: string): Promise<RawCallerResponse> {
+        const lines = [
+            `${method} ${path} HTTP/1.0`,
+            "Host: yard.example",
+            "Authorization: Bearer key-1",
+            "X-Attempt-Id: attempt-1",
+            "X-Deadline-Ms: 2000",
+            `Content-Length: ${body.length}`,
+            "",
+            body,
+        ];
+        const socket = connect(this.callerPort, "127.0.0.1", () => socket.write(lines.join("\r\n")));
+        const result = endsInOrder(socket);
+        const chunks: Buffer[] = [];
+        socket.on("data", (data: Buffer) => chunks.push(data));
+        // The result tells of it.
+        socket.on("error", () => undefined);
+        return { endedInOrder: await result, text: Buffer.concat(chunks).toString() };
+    }
+
     async stop(): Promise<void> {
         await Promise.all(this.gateways.map(({ gateway }) => gateway.stop()));
         await Promise.all(this.servers.map(server => server.stop()));
