Stop using a backend server once its responses say that it is leaving

Backend servers now announce their departure in every response, with `Server-Leaving: 1`, before the registry shows it. The router passed such responses on and kept sending new requests to the server for as long as its registry entry said `ready`.

Cause: only the registry and the placement leader's health checks marked a server as leaving.

Each exchange now tells a ResponseObserver the head of its response: plain requests, streams (at the head, not at the end), reports, health checks and orders, with any status and also if the response is discarded afterwards. ServerAnnouncements marks the start of the server (ID and `bornAt`) as leaving in the registry. From then on it counts like a draining entry: no new requests while others are active, none at all after the leaving use time, neither as first nor as later part of a path, nor as the replacement of a part. The mark is kept apart from the registrations, so no entry of the same start undoes it: not a newer one that says `ready`, not one that registers again after it was removed and forgotten, not the grace after an outage, not a notice. The next start clears it. The header is passed on to callers like all other headers of the response.

On the router that leads placement, the engine is no longer among the engines to plan for, so its layers are placed on others at once. The other routers are not told by a notice: a notice would make them move running streams off a server that still serves them for its drain period; each learns it from its first response.

--- a/src/connection/gateway/exchange.ts
+++ b/src/connection/gateway/exchange.ts
@@ -9,6 +9,7 @@
 import { type ClientRequest, type IncomingMessage, request as sendRequest } from "node:http";
 import { monotonicNow } from "../../common/clock.js";
 import { afterPendingInput } from "../../common/event-loop.js";
+import type { ResponseObserver } from "../../domain/gateway/response-observer.js";
 import type { ServerEntry } from "../../domain/gateway/server-entry.js";
 import { ConnectionFailedError, ConnectionFailure } from "../../errors/index.js";
 import { endsInOrder } from "./orderly-end.js";
@@ -28,6 +29,8 @@
     readonly deadline: number;
     /** Aborted when the caller disconnects, which cancels the exchange; undefined if it serves no caller. */
     readonly callerGone: AbortSignal | undefined;
+    /** Is told the head of the response before the listener, whatever becomes of the exchange. */
+    readonly responseObserver?: ResponseObserver;
 }
 
 export interface ResponseHead {
@@ -186,7 +189,9 @@
         });
         response.on("end", () => void this.handleEnd(response, endedInOrder));
         response.on("error", error => this.fail(ConnectionFailure.broken, error));
-        this.listener.headReceived({ status, headers, rawHeaders, framing });
+        const head = { status, headers, rawHeaders, framing };
+        this.options.responseObserver?.responseReceived(this.server, head);
+        this.listener.headReceived(head);
     }
 
     private async handleEnd({ complete }: IncomingMessage, endedInOrder: Promise<boolean> | undefined): Promise<void> {
--- a/src/connection/gateway/http-server-control.ts
+++ b/src/connection/gateway/http-server-control.ts
@@ -1,6 +1,7 @@
 /** Reads reports from backend servers and sends control orders to them over HTTP. */
 import { monotonicNow } from "../../common/clock.js";
 import type { Dialect, PathPart } from "../../domain/gateway/dialect.js";
+import type { ResponseObserver } from "../../domain/gateway/response-observer.js";
 import type { ServerControl } from "../../domain/gateway/server-control.js";
 import {
     formatSocketAddress,
@@ -18,7 +19,7 @@
 const maximumResponseBytes = 1_000_000;
 
 export class HttpServerControl implements ServerControl {
-    constructor(private readonly dialect: Dialect) {}
+    constructor(private readonly dialect: Dialect, private readonly responseObserver: ResponseObserver) {}
 
     async readReport(server: ServerEntry): Promise<ServerReport> {
         const response = await this.request(server, "GET", this.dialect.reportPath, undefined);
@@ -71,6 +72,7 @@
             connectTimeoutMilliseconds,
             deadline: monotonicNow() + callTimeoutMilliseconds,
             callerGone: undefined,
+            responseObserver: this.responseObserver,
             maximumBytes: maximumResponseBytes,
         });
     }
--- a/src/daemon/gateway/request-path.ts
+++ b/src/daemon/gateway/request-path.ts
@@ -12,6 +12,7 @@
 import { HalfCopyStandby } from "../../process/gateway/layer-placement/standby-servers.js";
 import { ZoneLayerPlanner } from "../../process/gateway/layer-placement/zone-layer-planner.js";
 import { LocalServerLoad } from "../../process/gateway/local-server-load.js";
+import { ServerAnnouncements } from "../../process/gateway/server-announcements.js";
 import { ServerExclusions } from "../../process/gateway/server-exclusions.js";
 import type { GatewaySettings } from "../../process/gateway/settings.js";
 import { WindowedRetryBudget } from "../../process/gateway/windowed-retry-budget.js";
@@ -57,7 +58,8 @@
     const { registry, routers, leavingUseMilliseconds } = state;
     const load = new LocalServerLoad();
     const exclusions = new ServerExclusions(logger.withLabel("suspicions"));
-    const control = new HttpServerControl(dialect);
+    const responseObserver = new ServerAnnouncements(dialect.headers, registry);
+    const control = new HttpServerControl(dialect, responseObserver);
     const fleetLoad = new FleetLoad(load, () => routers.count);
     const standbyPolicy = new HalfCopyStandby();
     const finder = new CheapestLayerPathFinder(random);
@@ -73,6 +75,7 @@
         exclusions,
         retries,
         retryAdvice: new SpreadRetryAdvice(random),
+        responseObserver,
         metrics,
         logger: logger.withLabel("request"),
     };
--- a/src/domain/gateway/dialect.ts
+++ b/src/domain/gateway/dialect.ts
@@ -27,6 +27,8 @@
     readonly lengthHint: string;
     /** Address of the backend server that caused the rejection of a request. */
     readonly serverAtFault: string;
+    /** Has the value `1` in all responses of a backend server that is leaving. */
+    readonly serverLeaving: string;
 }
 
 /** One backend server of a layer path and the layers that it computes. */
--- a/src/process/gateway/server-registry.ts
+++ b/src/process/gateway/server-registry.ts
@@ -1,7 +1,8 @@
 /**
  * The backend servers in the platform's registry, corrected by the notices of the placement leader. A server that is
- * draining or was removed is no longer chosen. Its departure counts from the moment at which this process first learnt
- * of it, and is not undone by later outages of the store.
+ * draining, was removed or has announced in a response that it is leaving is no longer chosen. Its departure counts from
+ * the moment at which this process first learnt of it, and is not undone by later outages of the store. A departure that
+ * the server itself announced is undone only by its next start, whatever the registry says.
  */
 import { monotonicNow } from "../../common/clock.js";
 import type { Logger } from "../../common/logger.js";
@@ -12,7 +13,7 @@
 /** A backend server's registry entry and whether the server is leaving. */
 export interface RegisteredServer {
     readonly entry: ServerEntry;
-    /** Monotonic time at which this process learnt that the server is draining or was removed; undefined otherwise. */
+    /** Monotonic time at which this process learnt that the server is leaving or was removed; undefined otherwise. */
     readonly leavingSince: number | undefined;
     /** Whether the server is no longer in the registry. */
     readonly removed: boolean;
@@ -49,10 +50,14 @@
 const reregistrationMilliseconds = 2_500;
 /** The leader repeats its notices every 500 ms; without one for this time, the registry entry applies again. */
 const noticeLifetimeMilliseconds = 3_000;
+/** No server is leaving for this long; announcements are forgotten afterwards to bound the memory that they take. */
+const announcementRetentionMilliseconds = 3_600_000;
 
 export class ServerRegistry {
     private readonly registrations = new Map<string, Registration>();
     private readonly notices = new Map<string, AppliedNotice>();
+    /** Monotonic times of the first announcements of servers that they are leaving, keyed by server and start. */
+    private readonly announcements = new Map<string, number>();
     private readonly listeners = new Set<() => void>();
     private readonly noticeListeners = new Set<() => void>();
     private loaded = false;
@@ -137,8 +142,9 @@
             return;
         }
         const restarted = before !== undefined && before.entry.bornAt !== entry.bornAt;
-        const leavingSince = entry.draining
-            ? (restarted ? undefined : before?.leavingSince) ?? monotonicNow()
+        const announcedAt = this.announcements.get(startKey(entry));
+        const leavingSince = entry.draining || announcedAt !== undefined
+            ? (restarted ? undefined : before?.leavingSince) ?? announcedAt ?? monotonicNow()
             : undefined;
         this.registrations.set(entry.id, { entry, revision, leavingSince, removed: false, graceEndsAt: undefined });
         this.logger.info("backend server registered", {
@@ -152,6 +158,29 @@
         this.notify();
     }
 
+    /**
+     * Marks a start of a server as leaving, which the server itself has announced. Holds for entries of this start that
+     * arrive later, too.
+     */
+    markLeaving(server: ServerEntry): void {
+        const key = startKey(server);
+        if (this.announcements.has(key)) {
+            return;
+        }
+        const now = monotonicNow();
+        this.announcements.set(key, now);
+        const before = this.registrations.get(server.id);
+        if (before !== undefined && startKey(before.entry) === key) {
+            const leavingSince = before.leavingSince ?? now;
+            this.registrations.set(server.id, { ...before, leavingSince, graceEndsAt: undefined });
+        }
+        this.logger.info("backend server announced that it is leaving", {
+            server: server.id,
+            address: formatSocketAddress(server.address),
+        });
+        this.notify();
+    }
+
     /** Marks a server as removed, unless the revision is not newer than the last one applied to the server. */
     remove(id: string, revision: number, afterOutage = false): void {
         const before = this.registrations.get(id);
@@ -243,6 +272,7 @@
     private notify(): void {
         this.currentGeneration++;
         this.evictRemoved();
+        this.evictAnnouncements();
         [...this.listeners].forEach(listener => listener());
     }
 
@@ -255,6 +285,20 @@
             }
         }
     }
+
+    private evictAnnouncements(): void {
+        const limit = monotonicNow() - announcementRetentionMilliseconds;
+        for (const [key, announcedAt] of this.announcements) {
+            if (announcedAt < limit) {
+                this.announcements.delete(key);
+            }
+        }
+    }
+}
+
+/** Identifies one start of a server. */
+function startKey({ id, bornAt }: ServerEntry): string {
+    return `${bornAt ?? ""}/${id}`;
 }
 
 function covers(held: LayerRange | undefined, layers: LayerRange): boolean {
--- a/src/request/gateway/plain-forwarder.ts
+++ b/src/request/gateway/plain-forwarder.ts
@@ -10,6 +10,7 @@
 import { type BufferedResponse, readResponse } from "../../connection/gateway/read-response.js";
 import { RouteKind } from "../../domain/gateway/configuration.js";
 import type { Dialect } from "../../domain/gateway/dialect.js";
+import type { ResponseObserver } from "../../domain/gateway/response-observer.js";
 import type { ServerEntry } from "../../domain/gateway/server-entry.js";
 import {
     CallerGoneError,
@@ -39,6 +40,7 @@
     readonly exclusions: ServerExclusions;
     readonly retries: WindowedRetryBudget;
     readonly retryAdvice: RetryAdvice;
+    readonly responseObserver: ResponseObserver;
     readonly metrics: Metrics;
     readonly logger: Logger;
 }
@@ -134,6 +136,7 @@
                 connectTimeoutMilliseconds,
                 deadline: request.deadline,
                 callerGone: request.callerGone,
+                responseObserver: dependencies.responseObserver,
                 maximumBytes: maximumResponseBytes,
             });
             const verdict = checkResponse(answer.head, request.id, dependencies.dialect.headers);
--- a/src/request/gateway/stream-request-handler.ts
+++ b/src/request/gateway/stream-request-handler.ts
@@ -7,6 +7,7 @@
 import { delay, monotonicNow } from "../../common/clock.js";
 import type { EngineProfile } from "../../domain/gateway/configuration.js";
 import type { Dialect } from "../../domain/gateway/dialect.js";
+import type { ResponseObserver } from "../../domain/gateway/response-observer.js";
 import { formatSocketAddress } from "../../domain/gateway/server-entry.js";
 import {
     CallerGoneError,
@@ -41,6 +42,7 @@
     readonly retries: WindowedRetryBudget;
     readonly firstEvents: FirstEventLatency;
     readonly retryAdvice: RetryAdvice;
+    readonly responseObserver: ResponseObserver;
 }
 
 /** The request fails once backend servers have refused it more often than this, with Retry-After if it has not run. */
@@ -157,6 +159,7 @@
                     }),
             },
             headerNames: dependencies.dialect.headers,
+            responseObserver: dependencies.responseObserver,
             limits: computeStallLimits(request.route, dependencies.firstEvents.upperBound(service)),
             progress,
             runs,
--- a/src/request/gateway/stream-run.ts
+++ b/src/request/gateway/stream-run.ts
@@ -5,6 +5,7 @@
  */
 import type { ExchangeRequest, ResponseHead } from "../../connection/gateway/exchange.js";
 import type { HeaderNames } from "../../domain/gateway/dialect.js";
+import type { ResponseObserver } from "../../domain/gateway/response-observer.js";
 import { AttemptSupervisor, type RunningAttempts, type SupervisionDependencies } from "./attempt-supervisor.js";
 import type { CompetingRun, CompetingRuns } from "./competing-runs.js";
 import type { CompleteEvent } from "./event-splitter.js";
@@ -19,6 +20,7 @@
     readonly path: LayerPath;
     readonly content: ExchangeRequest;
     readonly headerNames: HeaderNames;
+    readonly responseObserver: ResponseObserver;
     readonly limits: StallLimits;
     readonly progress: StreamProgress;
     readonly runs: CompetingRuns<StreamRun>;
@@ -52,7 +54,11 @@
             request.id,
             options.headerNames,
             this,
-            { deadline: request.deadline, callerGone: request.callerGone },
+            {
+                deadline: request.deadline,
+                callerGone: request.callerGone,
+                responseObserver: options.responseObserver,
+            },
         );
         this.supervisor = new AttemptSupervisor(dependencies, runningAttempts, {
             request,
--- a/test/platform/endless-responses.test.ts
+++ b/test/platform/endless-responses.test.ts
@@ -63,7 +63,7 @@
         fixture = await GatewayFixture.start([engine]);
         engine.behavior = behavior;
         engine.endlessControl = true;
-        const control = new HttpServerControl(platformDialect);
+        const control = new HttpServerControl(platformDialect, { responseReceived: () => undefined });
         const entry = serverEntry("engine", { address: parseSocketAddress(engine.address)! });
         await expect(control.readReport(entry)).rejects.toMatchObject({ code: "connection-failed" });
         await expect(control.isHealthy(entry, "/health")).rejects.toMatchObject({ code: "connection-failed" });
--- a/test/platform/stand-ins/backend-server.ts
+++ b/test/platform/stand-ins/backend-server.ts
@@ -98,6 +98,8 @@
     rawControl = false;
     /** Fails health checks and refuses requests while the registration still says `ready`. */
     leaving = false;
+    /** Announces in every response that the server is leaving. */
+    announcesLeaving = false;
     private acceptedOrders = 0;
     private port = 0;
     private readonly server: Server = createServer((request, response) => void this.handle(request, response));
@@ -143,6 +145,9 @@
             chunks.push(chunk as Buffer);
         }
         const body = Buffer.concat(chunks).toString();
+        if (this.announcesLeaving) {
+            response.setHeader("Server-Leaving", "1");
+        }
         if (this.endlessControl && (request.url === "/report" || request.url === "/health")) {
             this.sendWithoutEnd(request, endlessUnits[this.behavior]!);
             return;
--- a/test/process/gateway/placement-loop.test.ts
+++ b/test/process/gateway/placement-loop.test.ts
@@ -161,6 +161,13 @@
         expect(noticeOf("a")?.lost ?? false).toBe(false);
     });
 
+    test("the layers of an engine that announced that it is leaving are placed on other engines", async () => {
+        registry.markLeaving(serverEntry("a"));
+        await jest.advanceTimersByTimeAsync(6_000);
+        expect(coversAllLayers(["b", "c"])).toBe(true);
+        expect(control.engines.get("a")!.ordersBegun).toBe(0);
+    });
+
     test("the health of an engine without free slots is not checked", async () => {
         const engine = control.engines.get("a")!;
         engine.requests = engineProfile.slots;
--- a/test/process/gateway/server-registry.test.ts
+++ b/test/process/gateway/server-registry.test.ts
@@ -109,4 +109,81 @@
         registry.put(serverEntry("a", { layers: { first: 0, last: 9 } }), 2);
         expect(activeIds()).toEqual(["a"]);
     });
+
+    describe("a server that announced in a response that it is leaving", () => {
+        const announce = (bornAt = 1) => registry.markLeaving(serverEntry("a", { bornAt }));
+        const leavingIds = () => registry.recentlyLeaving("pool", 1_000).map(({ id }) => id);
+
+        test("is not active, and is listed as recently leaving from its first announcement", () => {
+            registry.put(serverEntry("a"), 1);
+            announce();
+            expect(activeIds()).toEqual([]);
+            expect(registry.registered("pool")).toEqual([]);
+            jest.advanceTimersByTime(900);
+            announce();
+            registry.put(serverEntry("a", { draining: true }), 2);
+            expect(leavingIds()).toEqual(["a"]);
+            jest.advanceTimersByTime(200);
+            expect(leavingIds()).toEqual([]);
+        });
+
+        test("does not return by a newer entry that says ready, a full read after an outage or a notice", () => {
+            replaceAll(["a"], 10, false);
+            announce();
+            registry.put(serverEntry("a"), 11);
+            expect(activeIds()).toEqual([]);
+            replaceAll(["a"], 20, true);
+            expect(activeIds()).toEqual([]);
+            registry.applyNotice([{ id: "a", bornAt: 1, layers: { first: 0, last: 9 }, lost: false }]);
+            expect(activeIds()).toEqual([]);
+        });
+
+        test("does not return when it registers again after it was removed and forgotten", () => {
+            replaceAll(["a"], 10, false);
+            announce();
+            replaceAll([], 20, true);
+            expect(activeIds()).toEqual([]);
+            jest.advanceTimersByTime(10_001);
+            replaceAll([], 21, false);
+            expect(registry.get("a")).toBeUndefined();
+            registry.put(serverEntry("a"), 22);
+            expect(activeIds()).toEqual([]);
+            expect(leavingIds()).toEqual([]);
+        });
+
+        test("is not active in the grace period of an entry that expired in an outage", () => {
+            replaceAll(["a"], 10, false);
+            replaceAll([], 20, true);
+            expect(activeIds()).toEqual(["a"]);
+            announce();
+            expect(activeIds()).toEqual([]);
+        });
+
+        test("is not active when its entry arrives after the announcement", () => {
+            announce();
+            registry.put(serverEntry("a"), 1);
+            expect(activeIds()).toEqual([]);
+        });
+
+        test("returns with its next start, and an announcement of an earlier start does not affect a later one", () => {
+            registry.put(serverEntry("a"), 1);
+            announce();
+            registry.put(serverEntry("a", { bornAt: 2 }), 2);
+            expect(activeIds()).toEqual(["a"]);
+            announce(0);
+            expect(activeIds()).toEqual(["a"]);
+            announce(2);
+            expect(activeIds()).toEqual([]);
+        });
+
+        test("makes the placement leader plan again", () => {
+            const listener = jest.fn();
+            registry.put(serverEntry("a"), 1);
+            registry.onChange(listener);
+            announce();
+            expect(listener).toHaveBeenCalledTimes(1);
+            announce();
+            expect(listener).toHaveBeenCalledTimes(1);
+        });
+    });
 });
--- /dev/null
+++ b/test/request/gateway/layer-path-chooser.test.ts
@@ -0,0 +1,58 @@
+import { beforeEach, describe, expect, test } from "@jest/globals";
+import { SilentLogger } from "../../../src/common/logger.js";
+import { SeededRandom } from "../../../src/common/random.js";
+import type { LayerRange } from "../../../src/domain/layers.js";
+import { HalfCopyStandby } from "../../../src/process/gateway/layer-placement/standby-servers.js";
+import { ServerExclusions } from "../../../src/process/gateway/server-exclusions.js";
+import { ServerRegistry } from "../../../src/process/gateway/server-registry.js";
+import { LayerPathChooser } from "../../../src/request/gateway/layer-path-chooser.js";
+import { CheapestLayerPathFinder, type LayerPath } from "../../../src/request/gateway/layer-path-finder.js";
+import { engineProfile, serverEntry } from "../../process/gateway/fixtures.js";
+
+const size = { promptTokens: 700, outputTokens: 150 };
+const firstHalf = { first: 0, last: 9 };
+const secondHalf = { first: 10, last: 19 };
+const nothing: ReadonlySet<string> = new Set();
+
+let registry: ServerRegistry;
+let exclusions: ServerExclusions;
+let chooser: LayerPathChooser;
+
+const engine = (id: string, layers: LayerRange, availabilityZone = "north") =>
+    serverEntry(id, { layers, availabilityZone, kind: "large" });
+const serverIds = (path: LayerPath | undefined) => path?.parts.map(({ server }) => server.id);
+const choose = () => serverIds(chooser.choose("pool", engineProfile, size, nothing));
+const chooseReplacement = (path: LayerPath, lost: string) =>
+    serverIds(chooser.chooseReplacement("pool", engineProfile, size, path, new Set([lost])));
+
+beforeEach(() => {
+    registry = new ServerRegistry(0, new SilentLogger());
+    exclusions = new ServerExclusions(new SilentLogger());
+    chooser = new LayerPathChooser(
+        registry,
+        { requests: () => 0, tokens: () => 0 },
+        exclusions,
+        new CheapestLayerPathFinder(new SeededRandom(20261205)),
+        new HalfCopyStandby(),
+        { homeZone: "north", leavingUseMilliseconds: 0 },
+    );
+    registry.put(engine("first", firstHalf), 1);
+    registry.put(engine("second", secondHalf), 2);
+    registry.put(engine("spare", secondHalf, "south"), 3);
+});
+
+describe("an engine that announced that it is leaving", () => {
+    test("is neither the first nor a later part of a new path", () => {
+        registry.markLeaving(engine("second", secondHalf));
+        expect(choose()).toEqual(["first", "spare"]);
+        registry.markLeaving(engine("first", firstHalf));
+        expect(choose()).toBeUndefined();
+    });
+
+    test("replaces no part of a running request's path", () => {
+        const path = chooser.choose("pool", engineProfile, size, nothing)!;
+        expect(chooseReplacement(path, "second")).toEqual(["first", "spare"]);
+        registry.markLeaving(engine("spare", secondHalf, "south"));
+        expect(chooseReplacement(path, "second")).toBeUndefined();
+    });
+});
