Send a backend server no requests in the time that its 503 names in Retry-After

A backend server may now add Retry-After to a 503: it wants no requests from this router for so long. The router ignored the header. It excluded the server for 0.3 s (streams) or 1 s (plain requests), used it even then if no other was left, and returned streams to it after 100 ms.

A 503 with Retry-After now pauses its sender, kept apart from the exclusions, which stay a preference. A paused server is not chosen at all: not for plain requests, not as first or later part of a path, not as a replacement in a path that is moved, and not as the last resort while it is leaving. The latest of several ends holds, and a success does not end a pause. Health checks of a paused engine are left out; reports, which take no slot, and orders stay.

Requests that have not run and that only paused servers could take are refused at once if the pauses outlast their wait for a path, and Retry-After for the caller is not before the first return that closes the gap, also if that is later than a third of the caller's time.

Before the change, the tests of this commit could not run, since the interfaces that they call did not exist.

--- a/src/daemon/gateway/request-path.ts
+++ b/src/daemon/gateway/request-path.ts
@@ -58,7 +58,12 @@
     const { registry, routers, leavingUseMilliseconds } = state;
     const load = new LocalServerLoad();
     const exclusions = new ServerExclusions(logger.withLabel("suspicions"));
-    const responseObserver = new ServerAnnouncements(dialect.headers, registry);
+    const responseObserver = new ServerAnnouncements(
+        dialect.headers,
+        registry,
+        exclusions,
+        logger.withLabel("announcements"),
+    );
     const control = new HttpServerControl(dialect, responseObserver);
     const fleetLoad = new FleetLoad(load, () => routers.count);
     const standbyPolicy = new HalfCopyStandby();
--- a/src/process/gateway/layer-placement/placement-loop.ts
+++ b/src/process/gateway/layer-placement/placement-loop.ts
@@ -158,8 +158,10 @@
         const layersBefore = state.servableLayers;
         try {
             const report = await this.dependencies.control.readReport(state.server);
-            // An engine without free slots may reject the health check like any other request.
-            if (healthPath !== undefined && report.requests < engine.slots) {
+            // An engine without free slots may reject the health check like any other request; a paused one wants none.
+            const mayBeChecked = report.requests < engine.slots
+                && !this.dependencies.exclusions.isPaused(state.server.id);
+            if (healthPath !== undefined && mayBeChecked) {
                 state.applyHealth(await this.dependencies.control.isHealthy(state.server, healthPath));
             }
             state.applyReport(report);
--- a/src/process/gateway/server-exclusions.ts
+++ b/src/process/gateway/server-exclusions.ts
@@ -1,7 +1,8 @@
 /**
  * Excludes backend servers from new requests for a time after requests to them failed or were refused, independently of
  * the registry. The time doubles with each consecutive failure or refusal; a success ends the exclusion and resets both
- * counts.
+ * counts. An excluded server may be used if there is no other. A server that has itself requested a pause is paused: it
+ * gets no new requests in that time, whatever else happens.
  */
 import { monotonicNow } from "../../common/clock.js";
 import type { Logger } from "../../common/logger.js";
@@ -25,6 +26,8 @@
 
 export class ServerExclusions {
     private readonly exclusions = new Map<string, Exclusion>();
+    /** Monotonic times at which requested pauses end, by server. */
+    private readonly pauseEnds = new Map<string, number>();
 
     constructor(private readonly logger: Logger) {}
 
@@ -33,6 +36,33 @@
         return (this.exclusions.get(serverId)?.until ?? 0) > monotonicNow();
     }
 
+    /** Whether the server has requested that no new requests are sent to it now. */
+    isPaused(serverId: string): boolean {
+        return this.pauseMilliseconds(serverId) > 0;
+    }
+
+    /** Time until the end of the pause that the server has requested; 0 if it is not paused. */
+    pauseMilliseconds(serverId: string): number {
+        const end = this.pauseEnds.get(serverId);
+        if (end === undefined) {
+            return 0;
+        }
+        const milliseconds = end - monotonicNow();
+        if (milliseconds <= 0) {
+            this.pauseEnds.delete(serverId);
+        }
+        return Math.max(0, milliseconds);
+    }
+
+    /** Of several pauses, the latest end applies; a success does not end a pause. */
+    recordRequestedPause(serverId: string, milliseconds: number): void {
+        if (milliseconds <= this.pauseMilliseconds(serverId)) {
+            return;
+        }
+        this.pauseEnds.set(serverId, monotonicNow() + milliseconds);
+        this.logger.info("backend server requested a pause", { server: serverId, milliseconds });
+    }
+
     recordFailure(serverId: string, reason: string): void {
         const now = monotonicNow();
         const before = this.exclusions.get(serverId);
--- a/src/request/gateway/layer-path-chooser.ts
+++ b/src/request/gateway/layer-path-chooser.ts
@@ -41,8 +41,8 @@
 
     /**
      * Tries the active servers that are not excluded after recent failures, then all active servers, then also those
-     * that have recently begun to leave. `avoided` lists IDs of servers that are never used. Returns undefined if no
-     * path covers all layers.
+     * that have recently begun to leave. Never uses servers that have requested a pause, and those whose IDs `avoided`
+     * lists. Returns undefined if no path covers all layers.
      */
     choose(
         service: string,
@@ -50,7 +50,8 @@
         size: RequestSize,
         avoided: ReadonlySet<string>,
     ): LayerPath | undefined {
-        const active = this.registry.active(service).filter(({ id }) => !avoided.has(id));
+        const active = this.registry.active(service)
+            .filter(({ id }) => !avoided.has(id) && !this.exclusions.isPaused(id));
         const notExcluded = active.filter(({ id }) => !this.exclusions.isExcluded(id));
         return this.find(notExcluded, engine, size)
             ?? (notExcluded.length < active.length ? this.find(active, engine, size) : undefined)
@@ -71,7 +72,10 @@
     ): LayerPath | undefined {
         const currentServerIds = new Set(path.parts.map(({ server }) => server.id));
         const candidates = this.registry.active(service)
-            .filter(({ id }) => !currentServerIds.has(id) && !lost.has(id) && !this.exclusions.isExcluded(id));
+            .filter(({ id }) =>
+                !currentServerIds.has(id) && !lost.has(id)
+                && !this.exclusions.isExcluded(id) && !this.exclusions.isPaused(id)
+            );
         const parts: LayerPathPart[] = [];
         let precedingZone: string | undefined;
         for (const part of path.parts) {
@@ -110,6 +114,21 @@
         return expectReloadMilliseconds(engine, largestGap, Math.max(...layersPerEngine));
     }
 
+    /** Time until every layer has an active server again; 0 if the pauses that servers have requested leave no gap. */
+    pauseMilliseconds(service: string, engine: EngineProfile): number {
+        const coverage = new LayerCoverage(engine.layerCount);
+        const returns = this.registry.active(service)
+            .map(({ id, layers }) => ({ layers, milliseconds: this.exclusions.pauseMilliseconds(id) }))
+            .sort((left, right) => left.milliseconds - right.milliseconds);
+        for (const { layers, milliseconds } of returns) {
+            coverage.add(layers);
+            if (coverage.gaps().length === 0) {
+                return milliseconds;
+            }
+        }
+        return 0;
+    }
+
     private fullSpan(engine: EngineProfile): PathSpan {
         return {
             layers: { first: 0, last: engine.layerCount - 1 },
@@ -127,7 +146,7 @@
     ): LayerPath | undefined {
         const leaving = this.registry
             .recentlyLeaving(service, this.options.leavingUseMilliseconds)
-            .filter(({ id }) => !avoided.has(id));
+            .filter(({ id }) => !avoided.has(id) && !this.exclusions.isPaused(id));
         return leaving.length === 0 ? undefined : this.find([...active, ...leaving], engine, size);
     }
 
--- a/src/request/gateway/plain-forwarder.ts
+++ b/src/request/gateway/plain-forwarder.ts
@@ -179,9 +179,10 @@
             : new NoServerAvailableError(request.service, reason, this.retryAfterSeconds(request));
     }
 
-    private retryAfterSeconds({ deadline }: GatewayRequest): number {
+    private retryAfterSeconds({ service, deadline }: GatewayRequest): number {
         return this.dependencies.retryAdvice.retryAfterSeconds({
             expectedMilliseconds: expectedWaitMilliseconds,
+            unavailableMilliseconds: this.dependencies.servers.pauseMilliseconds(service),
             remainingMilliseconds: deadline - monotonicNow(),
         });
     }
--- a/src/request/gateway/plain-server-chooser.ts
+++ b/src/request/gateway/plain-server-chooser.ts
@@ -1,7 +1,7 @@
 /**
  * Chooses the backend server for one attempt of a request to a plain service, which runs a request on one server. Prefers
  * active servers that are not excluded after recent failures, then any active server, then servers that have recently
- * begun to leave.
+ * begun to leave. Servers that have requested a pause are never chosen.
  */
 import { type RandomSource, shuffle } from "../../common/random.js";
 import type { ServerEntry } from "../../domain/gateway/server-entry.js";
@@ -12,6 +12,8 @@
 export interface PlainServerChooser {
     /** Returns undefined if no server is left other than the IDs in `tried`. */
     choose(service: string, tried: ReadonlySet<string>): ServerEntry | undefined;
+    /** Time until the first server accepts requests, if all active servers have requested a pause; 0 otherwise. */
+    pauseMilliseconds(service: string): number;
 }
 
 /** Number of running requests on each server. */
@@ -33,14 +35,20 @@
     ) {}
 
     choose(service: string, tried: ReadonlySet<string>): ServerEntry | undefined {
-        const active = this.registry.active(service).filter(({ id }) => !tried.has(id));
+        const isCandidate = ({ id }: ServerEntry) => !tried.has(id) && !this.exclusions.isPaused(id);
+        const active = this.registry.active(service).filter(isCandidate);
         const notExcluded = active.filter(({ id }) => !this.exclusions.isExcluded(id));
         return this.policy.select(notExcluded)
             ?? this.policy.select(active)
             ?? this.policy.select(
-                this.registry.recentlyLeaving(service, this.leavingUseMilliseconds).filter(({ id }) => !tried.has(id)),
+                this.registry.recentlyLeaving(service, this.leavingUseMilliseconds).filter(isCandidate),
             );
     }
+
+    pauseMilliseconds(service: string): number {
+        const pauses = this.registry.active(service).map(({ id }) => this.exclusions.pauseMilliseconds(id));
+        return pauses.length === 0 ? 0 : Math.min(...pauses);
+    }
 }
 
 /** Baseline policy: the server with the lowest ratio of running requests to slots, at random among equals. */
--- a/src/request/gateway/retry-advice.ts
+++ b/src/request/gateway/retry-advice.ts
@@ -10,6 +10,8 @@
 export interface Refusal {
     /** Time after which room for the request is expected. */
     readonly expectedMilliseconds: number;
+    /** Time for which no backend server accepts the request, by their own statement; 0 if they have made none. */
+    readonly unavailableMilliseconds?: number;
     /** Time until the caller's deadline. */
     readonly remainingMilliseconds: number;
 }
@@ -36,16 +38,25 @@
 const spreadShareOfLongestWait = 0.25;
 const millisecondsPerSecond = 1_000;
 
-/** Spreads callers over a time that begins when room is expected, as far as their deadlines allow. */
+/**
+ * Spreads callers over a time that begins when room is expected, as far as their deadlines allow, but never before the
+ * servers accept requests again.
+ */
 export class SpreadRetryAdvice implements RetryAdvice {
     constructor(private readonly random: RandomSource) {}
 
-    retryAfterSeconds({ expectedMilliseconds, remainingMilliseconds }: Refusal): number {
+    retryAfterSeconds(
+        { expectedMilliseconds, unavailableMilliseconds = 0, remainingMilliseconds }: Refusal,
+    ): number {
         const longest = Math.max(0, remainingMilliseconds) * maximumShareOfRemainingTime;
         const latest = Math.min(longest, expectedMilliseconds * (1 + spreadShare));
         const earliest = Math.min(expectedMilliseconds, latest * (1 - spreadShareOfLongestWait));
-        const milliseconds = earliest + this.random.next() * (latest - earliest);
-        return Math.round(milliseconds) / millisecondsPerSecond;
+        const spread = this.random.next();
+        const milliseconds = Math.max(
+            earliest + spread * (latest - earliest),
+            unavailableMilliseconds * (1 + spread * spreadShare),
+        );
+        return Math.ceil(milliseconds) / millisecondsPerSecond;
     }
 }
 
--- a/src/request/gateway/stream-request-handler.ts
+++ b/src/request/gateway/stream-request-handler.ts
@@ -109,12 +109,17 @@
         const chooseAvoiding = (avoided: ReadonlySet<string>) => this.choosePathAvoiding(avoided);
         // A server that refused the request for lack of capacity has capacity again when one of its requests ends.
         const includeAvoidedAt = monotonicNow() + refusedServerRetryMilliseconds;
-        const findPath = () =>
-            chooseAvoiding(this.avoidedServers)
-                ?? (monotonicNow() >= includeAvoidedAt ? chooseAvoiding(new Set()) : undefined);
         const until = this.response.started
             ? this.patienceEnd
             : shortWaitEnd(request.receivedAt, request.deadline - request.receivedAt);
+        const findPath = () => {
+            const path = chooseAvoiding(this.avoidedServers)
+                ?? (monotonicNow() >= includeAvoidedAt ? chooseAvoiding(new Set()) : undefined);
+            if (path === undefined) {
+                this.refuseIfPausedBeyond(until);
+            }
+            return path;
+        };
         const path = await pollUntilDefined(findPath, { until, callerGone: request.callerGone })
             ?? chooseAvoiding(new Set());
         if (path === undefined) {
@@ -135,6 +140,15 @@
         return Math.min(request.deadline, waitingSince + callerPatienceMilliseconds(request.route));
     }
 
+    /** Refuses a request that has not run if the pauses that servers have requested outlast its wait for a path. */
+    private refuseIfPausedBeyond(limit: number): void {
+        const { dependencies, request, engine } = this;
+        const pauseMilliseconds = dependencies.paths.pauseMilliseconds(request.service, engine);
+        if (this.executions === 0 && pauseMilliseconds > 0 && monotonicNow() + pauseMilliseconds > limit) {
+            this.failRequest("the backend servers have requested a pause");
+        }
+    }
+
     private startRun(path: LayerPath): void {
         const { request, engine, dependencies, progress, runs } = this;
         const { service } = request;
@@ -312,6 +326,7 @@
                 engine,
                 requestSize(request, engine),
             ),
+            unavailableMilliseconds: dependencies.paths.pauseMilliseconds(request.service, engine),
             remainingMilliseconds: request.deadline - monotonicNow(),
         });
     }
--- a/test/platform/broken-responses.test.ts
+++ b/test/platform/broken-responses.test.ts
@@ -192,7 +192,7 @@
 });
 
 describe("a server's control interface", () => {
-    const control = new HttpServerControl(platformDialect);
+    const control = new HttpServerControl(platformDialect, { responseReceived: () => undefined });
     const report = JSON.stringify({ busy: false, seq: 3 });
     const cutAnswers = Object.values(cutResponses("X-Name: value\r\n", report));
     let engine: StandInBackendServer;
--- a/test/platform/stand-ins/backend-server.ts
+++ b/test/platform/stand-ins/backend-server.ts
@@ -100,6 +100,8 @@
     leaving = false;
     /** Announces in every response that the server is leaving. */
     announcesLeaving = false;
+    /** Retry-After of refusals. */
+    retryAfter: string | undefined;
     private acceptedOrders = 0;
     private port = 0;
     private readonly server: Server = createServer((request, response) => void this.handle(request, response));
@@ -184,6 +186,10 @@
         await this.sendResponse(request, response);
     }
 
+    private retryAfterHeader(): Record<string, string> {
+        return this.retryAfter === undefined ? {} : { "Retry-After": this.retryAfter };
+    }
+
     private handleOrder(order: Record<string, unknown>, response: ServerResponse): void {
         this.orders.push(order);
         if (order["op"] === "place" && order["expected"] !== this.acceptedOrders) {
@@ -210,7 +216,7 @@
         const headers: Record<string, string> = { "X-Attempt-Id": id, "X-Replica-Seal": `seal-${this.id}` };
         switch (this.leaving ? "refuse" : this.behavior) {
             case "refuse":
-                response.writeHead(503, { "X-Not-Executed": "1" }).end();
+                response.writeHead(503, { "X-Not-Executed": "1", ...this.retryAfterHeader() }).end();
                 return;
             case "fail":
                 response.writeHead(500, headers).end("failed");
--- a/test/process/gateway/placement-loop.test.ts
+++ b/test/process/gateway/placement-loop.test.ts
@@ -168,6 +168,16 @@
         expect(control.engines.get("a")!.ordersBegun).toBe(0);
     });
 
+    test("the health of an engine that requested a pause is checked again after it", async () => {
+        exclusions.recordRequestedPause("a", 3_000);
+        exclusions.recordFailure("a", "broken");
+        await jest.advanceTimersByTimeAsync(2_900);
+        expect(control.healthChecks).not.toContain("a");
+        exclusions.recordFailure("a", "broken");
+        await jest.advanceTimersByTimeAsync(1_000);
+        expect(control.healthChecks).toContain("a");
+    });
+
     test("the health of an engine without free slots is not checked", async () => {
         const engine = control.engines.get("a")!;
         engine.requests = engineProfile.slots;
--- a/test/process/gateway/server-exclusions.test.ts
+++ b/test/process/gateway/server-exclusions.test.ts
@@ -1,4 +1,4 @@
-import { beforeEach, expect, jest, test } from "@jest/globals";
+import { beforeEach, describe, expect, jest, test } from "@jest/globals";
 import { SilentLogger } from "../../../src/common/logger.js";
 import { ServerExclusions } from "../../../src/process/gateway/server-exclusions.js";
 
@@ -45,3 +45,27 @@
     jest.advanceTimersByTime(900);
     expect(exclusions.isExcluded("a")).toBe(true);
 });
+
+describe("a pause that a server requested", () => {
+    test("ends at the latest end that the server has named", () => {
+        exclusions.recordRequestedPause("a", 2_000);
+        exclusions.recordRequestedPause("a", 500);
+        jest.advanceTimersByTime(1_000);
+        expect(exclusions.isPaused("a")).toBe(true);
+        exclusions.recordRequestedPause("a", 3_000);
+        jest.advanceTimersByTime(2_900);
+        expect(exclusions.isPaused("a")).toBe(true);
+        expect(exclusions.pauseMilliseconds("a")).toBeCloseTo(100);
+        jest.advanceTimersByTime(101);
+        expect(exclusions.isPaused("a")).toBe(false);
+        expect(exclusions.pauseMilliseconds("a")).toBe(0);
+    });
+
+    test("is not ended by the success of a request that was already running", () => {
+        exclusions.recordRefusal("a", "status 503");
+        exclusions.recordRequestedPause("a", 2_000);
+        exclusions.recordSuccess("a");
+        expect(exclusions.isExcluded("a")).toBe(false);
+        expect(exclusions.isPaused("a")).toBe(true);
+    });
+});
--- a/test/request/gateway/layer-path-chooser.test.ts
+++ b/test/request/gateway/layer-path-chooser.test.ts
@@ -1,6 +1,7 @@
-import { beforeEach, describe, expect, test } from "@jest/globals";
+import { beforeEach, describe, expect, jest, test } from "@jest/globals";
 import { SilentLogger } from "../../../src/common/logger.js";
 import { SeededRandom } from "../../../src/common/random.js";
+import type { ServerEntry } from "../../../src/domain/gateway/server-entry.js";
 import type { LayerRange } from "../../../src/domain/layers.js";
 import { HalfCopyStandby } from "../../../src/process/gateway/layer-placement/standby-servers.js";
 import { ServerExclusions } from "../../../src/process/gateway/server-exclusions.js";
@@ -18,24 +19,27 @@
 let exclusions: ServerExclusions;
 let chooser: LayerPathChooser;
 
-const engine = (id: string, layers: LayerRange, availabilityZone = "north") =>
-    serverEntry(id, { layers, availabilityZone, kind: "large" });
+const engine = (id: string, layers: LayerRange, availabilityZone = "north", changes: Partial<ServerEntry> = {}) =>
+    serverEntry(id, { layers, availabilityZone, kind: "large", ...changes });
 const serverIds = (path: LayerPath | undefined) => path?.parts.map(({ server }) => server.id);
 const choose = () => serverIds(chooser.choose("pool", engineProfile, size, nothing));
 const chooseReplacement = (path: LayerPath, lost: string) =>
     serverIds(chooser.chooseReplacement("pool", engineProfile, size, path, new Set([lost])));
 
-beforeEach(() => {
-    registry = new ServerRegistry(0, new SilentLogger());
-    exclusions = new ServerExclusions(new SilentLogger());
-    chooser = new LayerPathChooser(
+const createChooser = (leavingUseMilliseconds: number) =>
+    new LayerPathChooser(
         registry,
         { requests: () => 0, tokens: () => 0 },
         exclusions,
         new CheapestLayerPathFinder(new SeededRandom(20261205)),
         new HalfCopyStandby(),
-        { homeZone: "north", leavingUseMilliseconds: 0 },
+        { homeZone: "north", leavingUseMilliseconds },
     );
+
+beforeEach(() => {
+    registry = new ServerRegistry(0, new SilentLogger());
+    exclusions = new ServerExclusions(new SilentLogger());
+    chooser = createChooser(0);
     registry.put(engine("first", firstHalf), 1);
     registry.put(engine("second", secondHalf), 2);
     registry.put(engine("spare", secondHalf, "south"), 3);
@@ -56,3 +60,43 @@
         expect(chooseReplacement(path, "second")).toBeUndefined();
     });
 });
+
+describe("an engine that requested a pause", () => {
+    test("is neither the first nor a later part of a path, also if no other engine is left", () => {
+        exclusions.recordRequestedPause("second", 1_000);
+        expect(choose()).toEqual(["first", "spare"]);
+        exclusions.recordRequestedPause("spare", 3_000);
+        expect(choose()).toBeUndefined();
+        jest.advanceTimersByTime(1_001);
+        expect(choose()).toEqual(["first", "second"]);
+        exclusions.recordRequestedPause("first", 1_000);
+        expect(choose()).toBeUndefined();
+    });
+
+    test("is not used while it is leaving either", () => {
+        chooser = createChooser(5_000);
+        registry.put(engine("second", secondHalf, "north", { draining: true }), 4);
+        registry.put(engine("spare", secondHalf, "south", { draining: true }), 5);
+        exclusions.recordRequestedPause("second", 1_000);
+        expect(choose()).toEqual(["first", "spare"]);
+        exclusions.recordRequestedPause("spare", 1_000);
+        expect(choose()).toBeUndefined();
+    });
+
+    test("replaces no part of a running request's path", () => {
+        const path = chooser.choose("pool", engineProfile, size, nothing)!;
+        exclusions.recordRequestedPause("spare", 1_000);
+        expect(chooseReplacement(path, "second")).toBeUndefined();
+    });
+
+    test("is expected back when the pauses that leave layers without an engine have ended", () => {
+        const pauseMilliseconds = () => chooser.pauseMilliseconds("pool", engineProfile);
+        expect(pauseMilliseconds()).toBe(0);
+        exclusions.recordRequestedPause("second", 4_000);
+        expect(pauseMilliseconds()).toBe(0);
+        exclusions.recordRequestedPause("spare", 3_000);
+        expect(pauseMilliseconds()).toBeCloseTo(3_000);
+        exclusions.recordRequestedPause("first", 3_500);
+        expect(pauseMilliseconds()).toBeCloseTo(3_500);
+    });
+});
--- a/test/request/gateway/plain-server-chooser.test.ts
+++ b/test/request/gateway/plain-server-chooser.test.ts
@@ -1,9 +1,13 @@
 /** Replays a few servers with few slots behind 195 routers whose loads are half a second old. */
-import { describe, expect, test } from "@jest/globals";
+import { describe, expect, jest, test } from "@jest/globals";
+import { SilentLogger } from "../../../src/common/logger.js";
 import { randomInteger, SeededRandom } from "../../../src/common/random.js";
+import { ServerExclusions } from "../../../src/process/gateway/server-exclusions.js";
+import { ServerRegistry } from "../../../src/process/gateway/server-registry.js";
 import {
     LeastLoadedPolicy,
     type PlainServerPolicy,
+    PreferredServerChooser,
     type RequestCounts,
     TwoChoicesPolicy,
 } from "../../../src/request/gateway/plain-server-chooser.js";
@@ -74,3 +78,26 @@
         expect(policy.select([])).toBeUndefined();
     });
 });
+
+describe("PreferredServerChooser", () => {
+    test("a server that requested a pause is not chosen, also if it is the only one or is leaving", () => {
+        const logger = new SilentLogger();
+        const registry = new ServerRegistry(0, logger);
+        const exclusions = new ServerExclusions(logger);
+        const policy = new LeastLoadedPolicy({ requests: () => 0 }, new SeededRandom(1));
+        const chooser = new PreferredServerChooser(registry, exclusions, policy, 5_000);
+        const choose = () => chooser.choose("pool", new Set())?.id;
+        registry.put(serverEntry("a"), 1);
+        registry.put(serverEntry("b"), 2);
+        exclusions.recordRequestedPause("a", 1_000);
+        expect(choose()).toBe("b");
+        expect(chooser.pauseMilliseconds("pool")).toBe(0);
+        exclusions.recordRequestedPause("b", 2_000);
+        expect(choose()).toBeUndefined();
+        expect(chooser.pauseMilliseconds("pool")).toBeCloseTo(1_000);
+        registry.put(serverEntry("a", { draining: true }), 3);
+        expect(choose()).toBeUndefined();
+        jest.advanceTimersByTime(1_001);
+        expect(choose()).toBe("a");
+    });
+});
--- a/test/request/gateway/retry-advice.test.ts
+++ b/test/request/gateway/retry-advice.test.ts
@@ -49,6 +49,19 @@
         }
     });
 
+    test("no caller comes back before servers accept requests, also if it can not wait so long", () => {
+        for (let caller = 0; caller < 100; caller++) {
+            for (const [expected, unavailable] of [[400, 2_000], [2_000, 300]] as const) {
+                const milliseconds = 1_000 * advice.retryAfterSeconds({
+                    expectedMilliseconds: expected,
+                    unavailableMilliseconds: unavailable,
+                    remainingMilliseconds: 900,
+                });
+                expect(milliseconds).toBeGreaterThanOrEqual(unavailable === 2_000 ? 2_000 : 225);
+            }
+        }
+    });
+
     test("a caller whose deadline has passed is not told to wait", () => {
         expect(advice.retryAfterSeconds({ expectedMilliseconds: 500, remainingMilliseconds: -5 })).toBe(0);
     });
--- a/test/request/gateway/unsendable-requests.test.ts
+++ b/test/request/gateway/unsendable-requests.test.ts
@@ -63,6 +63,7 @@
             random,
         }),
         retryAdvice: new SpreadRetryAdvice(random),
+        responseObserver: { responseReceived: () => undefined },
         metrics: new SilentMetrics(),
         logger: new SilentLogger(),
     };
