Answer malformed paths and statuses that the runtime parses but does not send

The runtime's parser accepts what its writer refuses with an exception, so one message could end the process:

- A caller's path with a tab or a form feed was thrown at by the request function in a callback of the event loop (since the exchange fails as unsendable, such a request got 503 after four attempts).
It now gets 400.
- A backend server's status 000 or 099 with a valid proof was thrown at by writeHead in the response listener of a stream; 101 was passed on to the caller.
A response with a status below 200 is now an invalid response.
- A path such as "//" to the peer listener was thrown at by the URL constructor in the request listener.
The path is now compared as it is, so that it gets 404.

Evidence, each test red without its change: "RangeError: Invalid status code: 0" from StreamAttempt.handleHead and Exchange.handleResponse for a stream, 'Expected: 502, Received: 500' for a plain request, 'Received: "HTTP/1.1 503 Service Unavailable"' for a path with a form feed, and "TypeError: Invalid URL" for "//".

--- a/src/connection/gateway/peer-server.ts
+++ b/src/connection/gateway/peer-server.ts
@@ -25,15 +25,16 @@
 
 export function createPeerServer(options: PeerServerOptions): Server {
     return createServer((message, response) => {
-        const url = new URL(message.url ?? "/", "http://router");
-        if (message.method === "POST" && url.pathname === noticePath) {
+        const [path, query] = (message.url ?? "/").split("?", 2);
+        if (message.method === "POST" && path === noticePath) {
             void handleNotice(message, response, options);
         }
-        else if (message.method === "POST" && url.pathname === offerPath) {
+        else if (message.method === "POST" && path === offerPath) {
             void handleLeadershipOffer(message, response, options);
         }
-        else if (message.method === "GET" && url.pathname === snapshotPath) {
-            sendSnapshot(Number(url.searchParams.get(afterRevisionParameter) ?? 0), response, options);
+        else if (message.method === "GET" && path === snapshotPath) {
+            const afterRevision = new URLSearchParams(query).get(afterRevisionParameter);
+            sendSnapshot(Number(afterRevision ?? 0), response, options);
         }
         else {
             sendStatus(response, 404);
--- a/src/request/gateway/gateway-handler.ts
+++ b/src/request/gateway/gateway-handler.ts
@@ -43,6 +43,8 @@
 /** A router has read the configuration about this long after its start. */
 const startupRetryAfterSeconds = 2;
 const leastUrgentPriority = 9;
+/** Paths that the runtime sends; it also parses ones with tabs and form feeds. */
+const forwardableTargetPattern = /^[\x21-\xff]+$/;
 const bearerPattern = /^Bearer (.+)$/i;
 
 export class GatewayHandler {
@@ -150,6 +152,9 @@
         if (route === undefined) {
             throw new NotFoundError(`No route in configuration version ${version.version} matches the host and path.`);
         }
+        if (!forwardableTargetPattern.test(target)) {
+            throw new BadRequestError("The path contains control characters.");
+        }
         const customer = this.findCustomer(message, version, route);
         const id = headerText(message, headers.requestId);
         if (id === undefined) {
--- a/src/request/gateway/response-check.ts
+++ b/src/request/gateway/response-check.ts
@@ -9,7 +9,7 @@
     notRun: "not-run",
     /**
      * Must not be forwarded to the caller: it carries another request's ID, has a content encoding, or is a success
-     * without the backend server's proof header or without the request ID.
+     * without the backend server's proof header or without the request ID, or its status is none of a final response.
      */
     invalid: "invalid",
 } as const;
@@ -17,10 +17,12 @@
 
 const misdirectedRequestStatus = 421;
 const lowestErrorStatus = 400;
+/** Lower ones are no status codes or belong to interim responses. */
+const lowestFinalStatus = 200;
 
 export function checkResponse(head: ResponseHead, requestId: string, names: HeaderNames): ResponseVerdict {
     const echoedRequestId = head.headers[names.requestId];
-    if (echoedRequestId !== undefined && echoedRequestId !== requestId) {
+    if (head.status < lowestFinalStatus || (echoedRequestId !== undefined && echoedRequestId !== requestId)) {
         return ResponseVerdict.invalid;
     }
     if (head.status === misdirectedRequestStatus || head.headers[names.notRun] !== undefined) {
--- a/test/platform/gateway-fixture.ts
+++ b/test/platform/gateway-fixture.ts
@@ -129,6 +129,11 @@
         return this.gateways[0]!.callerPort;
     }
 
+    /** Port at which other routers reach the gateway. */
+    get peerPort(): number {
+        return this.gateways[0]!.peerAddress.port;
+    }
+
     /** Starts another gateway, whose store connections are all refused, and directs the tests' requests to it. */
     async addGatewayWithoutStore(): Promise<void> {
         const [closedPort] = await freePorts(1);
--- a/test/platform/stand-ins/backend-server.ts
+++ b/test/platform/stand-ins/backend-server.ts
@@ -96,6 +96,8 @@
     /** Responses that replace those to requests, and with `rawControl` also reports, health answers and orders. */
     createRawResponse: CreateRawResponse = () => undefined;
     rawControl = false;
+    /** Digits of the status line with which requests are answered, which the runtime's own server would refuse to send. */
+    rawStatus: string | undefined;
     /** Fails health checks and refuses requests while the registration still says `ready`. */
     leaving = false;
     /** Announces in every response that the server is leaving. */
@@ -213,6 +215,11 @@
             return;
         }
         const id = request.headers["x-attempt-id"] as string;
+        if (this.rawStatus !== undefined) {
+            const proof = `X-Attempt-Id: ${id}\r\nX-Replica-Seal: seal-${this.id}\r\n`;
+            request.socket.end(`HTTP/1.1 ${this.rawStatus} Odd\r\n${proof}Content-Length: 3\r\n\r\nodd`);
+            return;
+        }
         const headers: Record<string, string> = { "X-Attempt-Id": id, "X-Replica-Seal": `seal-${this.id}` };
         switch (this.leaving ? "refuse" : this.behavior) {
             case "refuse":
