Report addresses that the runtime refuses as unreachable servers and routers

The reachability check of a stalled stream and its second attempt, made in a timer, threw ERR_SOCKET_BAD_PORT for a port out of range: an unhandled rejection or an uncaught exception, both of which end the process. A call to a router at such an address rejected with the runtime's error instead of PeerUnreachableError.

The check now settles as unreachable and the call rejects with its typed error.

--- a/src/connection/gateway/connection-probe.ts
+++ b/src/connection/gateway/connection-probe.ts
@@ -39,10 +39,16 @@
     }
 
     private open(): void {
-        const connection = this.openConnection(this.address);
-        connection.once("connect", () => this.settle(ProbeOutcome.accepted));
-        connection.once("error", () => this.settle(ProbeOutcome.refused));
-        this.connections.push(connection);
+        try {
+            const connection = this.openConnection(this.address);
+            connection.once("connect", () => this.settle(ProbeOutcome.accepted));
+            connection.once("error", () => this.settle(ProbeOutcome.refused));
+            this.connections.push(connection);
+        }
+        catch {
+            // The runtime refuses the address, so no server can be reached there.
+            this.settle(ProbeOutcome.refused);
+        }
     }
 
     private settle(outcome: ProbeOutcome): void {
--- a/src/connection/gateway/peer-request.ts
+++ b/src/connection/gateway/peer-request.ts
@@ -25,17 +25,7 @@
 
 /** Rejects with PeerUnreachableError if the call fails, takes too long, or if the response is too large. */
 export async function sendPeerRequest(router: SocketAddress, call: PeerRequest): Promise<PeerResponse> {
-    const headers = call.body === undefined
-        ? {}
-        : { "content-type": "application/json", "content-length": String(call.body.length) };
-    const request = sendRequest({
-        agent,
-        host: router.host,
-        port: router.port,
-        method: call.method,
-        path: call.path,
-        headers,
-    });
+    const request = createRequest(router, call);
     // The socket's own timeout restarts with every byte that arrives.
     const timer = setTimeout(() => request.destroy(), call.timeoutMilliseconds);
     try {
@@ -50,6 +40,19 @@
     }
 }
 
+/** Throws PeerUnreachableError if the runtime refuses the address or the path. */
+function createRequest(router: SocketAddress, { method, path, body }: PeerRequest): ClientRequest {
+    const headers = body === undefined
+        ? {}
+        : { "content-type": "application/json", "content-length": String(body.length) };
+    try {
+        return sendRequest({ agent, host: router.host, port: router.port, method, path, headers });
+    }
+    catch (error) {
+        throw new PeerUnreachableError(formatSocketAddress(router), error);
+    }
+}
+
 /** Sends the request with its body, and resolves once the response is complete. */
 function readWholeResponse(request: ClientRequest, body: Buffer | undefined): Promise<PeerResponse> {
     return new Promise((resolve, reject) => {
