Advise a finite wait for lost layers if the engine profile lists no accelerator kinds

The wait was computed from the maximum of an empty list, so Retry-After was not a number. An engine loads one layer at least. Evidence: the test failed before with "Expected: > 0, Received: NaN".

--- a/src/request/gateway/layer-path-chooser.ts
+++ b/src/request/gateway/layer-path-chooser.ts
@@ -111,7 +111,7 @@
         }
         const layersPerEngine = [...engine.kinds.values()]
             .map(kind => layersThatFit(engine, kind, preferredMemoryReserve));
-        return expectReloadMilliseconds(engine, largestGap, Math.max(...layersPerEngine));
+        return expectReloadMilliseconds(engine, largestGap, Math.max(1, ...layersPerEngine));
     }
 
     /** Time until every layer has an active server again; 0 if the pauses that servers have requested leave no gap. */
--- a/test/platform/odd-server-entries.test.ts
+++ b/test/platform/odd-server-entries.test.ts
@@ -13,6 +13,7 @@
 import { LayerPathChooser } from "../../src/request/gateway/layer-path-chooser.js";
 import { CheapestLayerPathFinder } from "../../src/request/gateway/layer-path-finder.js";
 import { PreferredServerChooser, TwoChoicesPolicy } from "../../src/request/gateway/plain-server-chooser.js";
+import { SpreadRetryAdvice } from "../../src/request/gateway/retry-advice.js";
 import { engineProfile } from "../process/gateway/fixtures.js";
 import { oddJson, oddNumber, withOddValues } from "./odd-json.js";
 
@@ -197,6 +198,16 @@
     },
 );
 
+// The wait was not a number, and so was the Retry-After header that it leads to.
+test("an engine profile without accelerator kinds has a finite wait for lost layers", () => {
+    const wait = createChooser(new ServerRegistry(1_000, new SilentLogger()))
+        .expectedWaitMilliseconds("pool", { ...engineProfile, kinds: new Map() }, size);
+    const advice = new SpreadRetryAdvice(new SeededRandom(1));
+    const seconds = advice.retryAfterSeconds({ expectedMilliseconds: wait, remainingMilliseconds: 3_000 });
+    expect(seconds).toBeGreaterThan(0);
+    expect(seconds).toBeLessThanOrEqual(1);
+});
+
 test("with the entries of another writer in the registry, paths and plans stay within the model at finite costs", () => {
     fc.assert(
         fc.property(
