Test the gateway with odd entries in its registry from end to end

Requests to a plain service and streams run while the registry holds entries with ports out of range, negative slots, deep nesting and an ID that no header can carry; then a server drains and a new one registers.

--- a/test/platform/malformed-requests.test.ts
+++ b/test/platform/malformed-requests.test.ts
@@ -79,3 +79,27 @@
     });
     expect((await fixture.send("GET", path)).status).toBe(502);
 });
+
+// Requests were sent to the odd entry, which ended the process.
+test("while the registry holds odd entries, requests are served and later entries are followed", async () => {
+    const [app, ...engines] = createServers();
+    fixture = await GatewayFixture.start([app!, ...engines], 1);
+    [app!, engines[0]!].forEach(server => {
+        [{ address: "127.0.0.1:99999" }, { address: "127.0.0.1:0" }, { slots: -3 }]
+            .forEach((changes, index) =>
+                fixture.store.put(`servers/odd-${server.service}-${index}`, server.entry({ slots: 1_000, ...changes }))
+            );
+    });
+    fixture.store.put("servers/deep", `${"[".repeat(100_000)}${"]".repeat(100_000)}`);
+    fixture.store.put("servers/a\nb", app!.entry());
+    await fixture.waitUntil(() => servesEverything());
+    for (let count = 0; count < 10; count++) {
+        expect(await servesEverything()).toBe(true);
+    }
+    fixture.register(app!, { state: "draining" });
+    const late = new StandInBackendServer("app-late", "app");
+    await late.start();
+    fixture.servers.push(late);
+    fixture.register(late);
+    await fixture.waitUntil(async () => (await fixture.send("GET", "/look/1")).body === "answer of app-late");
+});
