Test the limits of the new runs that are started beside a suspected one

Tests for guards that no test held, found by taking each guard out by hand: the route's max_attempts, the limit of refusals, and the later attempt after a refused new run. With one of them taken out, "is not run again if the route allows one attempt", "is offered to other servers only until six have refused it" and "is completed by a later new run if the first one is refused" fail.

--- a/test/platform/silent-streams.test.ts
+++ b/test/platform/silent-streams.test.ts
@@ -53,6 +53,11 @@
     });
 }
 
+function publishMaximumAttempts(maximumAttempts: number): void {
+    const routes = configuration(2)["routes"] as object[];
+    fixture.publish(2, { routes: routes.map(route => ({ ...route, max_attempts: maximumAttempts })) });
+}
+
 function setBehavior(behavior: Behavior): void {
     fixture.servers.forEach(server => {
         server.behavior = behavior;
@@ -79,6 +84,34 @@
         expect(runCount()).toBe(2);
     });
 
+    test("is completed by a later new run if the first one is refused", async () => {
+        await startFixture();
+        setSilence(4, 5_000);
+        const { response, server } = await startStream("refuse");
+        await fixture.waitUntil(() => runCount() === 2);
+        setBehavior("answer");
+        expect(await response).toMatchObject(complete);
+        expect(server.abortedRequests).toBe(1);
+    });
+
+    test("is offered to other servers only until six have refused it", async () => {
+        await startFixture();
+        setSilence(4, 3_500);
+        const { response } = await startStream("refuse");
+        expect(await response).toMatchObject(complete);
+        expect(runCount()).toBe(1 + 6);
+    });
+
+    test("is not run again if the route allows one attempt", async () => {
+        await startFixture();
+        publishMaximumAttempts(1);
+        await pause(300);
+        setSilence(4);
+        const { response } = await startStream("answer");
+        expect(await response).toMatchObject(complete);
+        expect(runCount()).toBe(1);
+    });
+
     test("is completed by the new run if that is first, and this server's run is cancelled", async () => {
         await startFixture();
         setSilence(4, 5_000);
@@ -188,8 +221,7 @@
 
 test("a stream whose new run is on a lost server too is run a third time", async () => {
     await startFixture({}, 3);
-    const routes = (configuration(2)["routes"] as object[]).map(route => ({ ...route, max_attempts: 3 }));
-    fixture.publish(2, { routes });
+    publishMaximumAttempts(3);
     await pause(300);
     setSilence(4, 6_000);
     const { response, server } = await startStream("mute");
