Handle the ends of competing runs one after the other

Cause: when a new run delivers its first event and ends in the same turn, the end of the run that it replaced is handled first. By then no run was left, so that this end was taken for that of the request: the caller's connection was closed, although the new run might have been complete.

The request now ends only when the end of every run has been handled. The new test "is completed by the new run if that sends the rest of the stream at once" fails with the earlier condition ("complete": false). The test of a cancelled new run now looks 200 ms after the answer instead of waiting, since it passed with the cancellation taken out (the run ended at its deadline, 5 s later).

--- a/src/request/gateway/competing-runs.ts
+++ b/src/request/gateway/competing-runs.ts
@@ -20,8 +20,9 @@
     private readonly ended: EndedRun<Run>[] = [];
     private reportEnd: (() => void) | undefined;
 
-    get count(): number {
-        return this.running.size;
+    /** Whether no run goes on, and the end of each has been returned by `nextEnd`. */
+    get allEnded(): boolean {
+        return this.running.size === 0 && this.ended.length === 0;
     }
 
     add(run: Run): void {
--- a/src/request/gateway/stream-request-handler.ts
+++ b/src/request/gateway/stream-request-handler.ts
@@ -101,7 +101,7 @@
         }
         this.countRefusal(run, result);
         this.avoidFaultyServers(run.path, result);
-        return this.runs.count === 0 && await this.finishOrRetry(result);
+        return this.runs.allEnded && await this.finishOrRetry(result);
     }
 
     private async choosePath(): Promise<LayerPath> {
--- a/test/platform/silent-streams.test.ts
+++ b/test/platform/silent-streams.test.ts
@@ -80,7 +80,19 @@
         const { response, server } = await startStream("mute");
         expect(await response).toMatchObject(complete);
         expect(server.abortedRequests).toBe(0);
-        await fixture.waitUntil(() => others(server).some(({ abortedRequests }) => abortedRequests === 1));
+        await pause(200);
+        expect(others(server).filter(({ abortedRequests }) => abortedRequests === 1)).toHaveLength(1);
+        expect(runCount()).toBe(2);
+    });
+
+    test("is completed by the new run if that sends the rest of the stream at once", async () => {
+        await startFixture();
+        setSilence(4, 5_000);
+        const { response, server } = await startStream("answer");
+        others(server).forEach(other => {
+            other.sendsEventsTogether = true;
+        });
+        expect(await response).toMatchObject(complete);
         expect(runCount()).toBe(2);
     });
 
--- a/test/platform/stand-ins/backend-server.ts
+++ b/test/platform/stand-ins/backend-server.ts
@@ -86,6 +86,8 @@
     eventMilliseconds = 2;
     /** Occurs in streams that start at the first event. */
     silence: Silence | undefined;
+    /** Sends all events of a stream at once, with its end. */
+    sendsEventsTogether = false;
     /** Sends the head of a stream at once instead of with the first event. */
     sendsHeadEarly = false;
     /** Open connections on which bytes are sent without end. */
@@ -301,6 +303,11 @@
             response.flushHeaders();
         }
         const first = Number(request.headers["last-event-id"] ?? 0) + 1;
+        if (this.sendsEventsTogether) {
+            const ids = Array.from({ length: eventsInStream - first + 1 }, (_value, index) => first + index);
+            response.end(ids.map(id => `id: ${id}\ndata: word ${id}\n\n`).join(""));
+            return;
+        }
         for (let id = first; id <= eventsInStream; id++) {
             const breaks = this.behavior === "break-stream" || (this.behavior === "break-first-run" && first === 1);
             if (breaks && id === first + 3) {
