Run a stream again on another server after an engine's error response

What callers saw: streams got 500 although other engines would have served them; a request's one retry went to the same engine.

Cause: a complete error response did not count against the server for the request's next run, and an engine that fails at once looks cheap, so it was chosen again.

The server that the response names, or else the first of the path, is avoided in the next run of this request. It is not excluded for other requests, since the request itself may be the cause.

The new test fails without the change: 500 in place of the complete stream.

--- a/src/request/gateway/stream-request-handler.ts
+++ b/src/request/gateway/stream-request-handler.ts
@@ -244,6 +244,9 @@
             this.avoidedServers.add(atFault ?? firstServerId);
             this.recordRefusal(atFault ?? firstServerId, result);
         }
+        else if (result.end === AttemptEnd.failure) {
+            this.avoidedServers.add(atFault ?? firstServerId);
+        }
         else if (result.end === AttemptEnd.broken) {
             path.parts.forEach(part => this.avoidedServers.add(part.server.id));
         }
--- a/test/platform/silent-streams.test.ts
+++ b/test/platform/silent-streams.test.ts
@@ -268,3 +268,13 @@
         expect(await response).toMatchObject(complete);
     });
 });
+
+test("streams that get an error response are run again on another server", async () => {
+    await startFixture();
+    await sendStream();
+    serverWithRun().behavior = "fail";
+    for (let count = 0; count < 12; count++) {
+        expect(await sendStream(`attempt-${count}`)).toMatchObject(complete);
+    }
+    expect(serverWithRun().received.length).toBeGreaterThan(1);
+});
