Start no request late in a shutdown that may not end before the grace period

Operators saw that in a planned stop of one router, requests that came late in the grace period were taken, passed on and cut without an answer at its end, among them requests that may not be repeated.

Cause: after the signal, only the listener was closed. What was in progress then (an upload that ends late, a wait for the configuration or a path, a retry, a new run of a stream, a request behind a kept head) was sent to a backend server however little of the grace period was left, and everything was cut at its end. Two more ways to lose requests: the first of several pipelined responses closed the connection on the others, which had been passed on; and a request that crossed the closing of a connection after a response was still passed on.

ShutdownGrace now decides it in one place. In the first 2.5 s after the signal (half of a shorter grace period), in which the platform still sends new connections, requests of any length may start; later only those whose deadline lies before the end. The others get 503 `router-draining` with Retry-After 0 and `Connection: close` before their body is read, and again before each attempt; they have not run. Neither a retry nor a new run of a stream starts late, and a stream that pauses is no longer abandoned for a run that may not start. A connection closes after its last pipelined response; during the shutdown a request behind another one, or on a connection that is closing, is not passed on. What has no response 100 ms before the end gets a complete 504 `router-stopped`, which promises nothing.

--- a/src/daemon/gateway/gateway.ts
+++ b/src/daemon/gateway/gateway.ts
@@ -8,6 +8,7 @@
 import type { GatewayConfiguration } from "../../domain/gateway/configuration.js";
 import { EventLoopMonitor } from "../../process/gateway/event-loop-monitor.js";
 import type { GatewaySettings } from "../../process/gateway/settings.js";
+import { ShutdownGrace } from "../../process/gateway/shutdown-grace.js";
 import { createMetricsServer, PrometheusMetrics } from "../../process/metrics/prometheus-metrics.js";
 import { GatewayConfigurationIndex } from "../../version/gateway/gateway-configuration-index.js";
 import { createGatewayState, type GatewayState } from "./gateway-state.js";
@@ -16,14 +17,11 @@
 import { createRequestPath, type RequestPath } from "./request-path.js";
 
 const millisecondsPerSecond = 1_000;
-/**
- * The platform probes readiness once a second and stops sending new connections after two failed probes; the gateway
- * keeps accepting connections for this long after it reports not ready.
- */
-const readinessNoticeMilliseconds = 2_500;
 /** Part of the shutdown grace period that is reserved for stopping components and exiting the process. */
 const exitReserveMilliseconds = 400;
 const drainPollMilliseconds = 50;
+/** Last part of the time for serving, in which requests that are not complete get an error response. */
+const errorResponseMilliseconds = 100;
 const componentStopTimeoutMilliseconds = 500;
 /** Limits the header bytes that the HTTP parser buffers; four times the limit that operators configure today. */
 const maximumHeaderBytes = 65_536;
@@ -37,7 +35,7 @@
     private readonly requestPath: RequestPath;
     private readonly callers: Server;
     private configurationIndex: GatewayConfigurationIndex | undefined;
-    private stopping = false;
+    private readonly shutdown = new ShutdownGrace();
     /** Whether every model has had a complete layer path at least once; from then on, readiness ignores paths. */
     private hasBeenRoutable = false;
 
@@ -55,7 +53,7 @@
             platform,
             state: this.state,
             configurationIndex: () => this.configurationIndex,
-            shouldCloseConnections: () => this.stopping,
+            shutdown: this.shutdown,
             random,
             metrics,
             logger,
@@ -77,25 +75,29 @@
 
     /**
      * Reports not ready, keeps accepting connections until the platform has noticed, and stops once every request is
-     * answered or the grace period ends.
+     * answered or the grace period ends; requests that have no response by then get an error response.
      */
     async stop(): Promise<void> {
-        if (this.stopping) {
+        if (this.shutdown.begun) {
             return;
         }
-        this.stopping = true;
         const { handler } = this.requestPath;
         const startedAt = monotonicNow();
         const graceMilliseconds = this.settings.bounds.shutdownGraceSeconds * millisecondsPerSecond
             - exitReserveMilliseconds;
+        this.shutdown.begin(graceMilliseconds - errorResponseMilliseconds);
         this.logger.info("gateway stopping; waiting for requests in flight", {
             requestsInFlight: handler.requestsInFlight,
         });
-        await delay(Math.min(readinessNoticeMilliseconds, graceMilliseconds / 2));
+        await delay(this.shutdown.noticeMilliseconds);
         this.callers.close();
-        while (handler.requestsInFlight > 0 && monotonicNow() - startedAt < graceMilliseconds) {
+        while (handler.requestsInFlight > 0 && this.shutdown.remainingMilliseconds > 0) {
             this.callers.closeIdleConnections();
-            await delay(drainPollMilliseconds);
+            await delay(Math.min(drainPollMilliseconds, Math.max(0, this.shutdown.remainingMilliseconds)));
+        }
+        if (handler.requestsInFlight > 0) {
+            handler.cancelAll();
+            await delay(errorResponseMilliseconds);
         }
         this.logger.info("gateway stopped serving", {
             requestsInFlight: handler.requestsInFlight,
@@ -153,7 +155,7 @@
     }
 
     private isReady(): boolean {
-        if (this.stopping || this.configurationIndex === undefined || !this.state.registry.isLoaded) {
+        if (this.shutdown.begun || this.configurationIndex === undefined || !this.state.registry.isLoaded) {
             return false;
         }
         this.hasBeenRoutable ||= this.everyModelHasPath();
--- a/src/daemon/gateway/request-path.ts
+++ b/src/daemon/gateway/request-path.ts
@@ -15,6 +15,7 @@
 import { ServerAnnouncements } from "../../process/gateway/server-announcements.js";
 import { ServerExclusions } from "../../process/gateway/server-exclusions.js";
 import type { GatewaySettings } from "../../process/gateway/settings.js";
+import type { ShutdownGrace } from "../../process/gateway/shutdown-grace.js";
 import { WindowedRetryBudget } from "../../process/gateway/windowed-retry-budget.js";
 import { GatewayHandler } from "../../request/gateway/gateway-handler.js";
 import { GatewayHeaders } from "../../request/gateway/headers.js";
@@ -37,8 +38,7 @@
     readonly state: GatewayState;
     /** Index of the active configuration; undefined before the first one. */
     configurationIndex(): GatewayConfigurationIndex | undefined;
-    /** Whether caller connections should be closed after the current response. */
-    shouldCloseConnections(): boolean;
+    readonly shutdown: ShutdownGrace;
     readonly random: RandomSource;
     readonly metrics: Metrics;
     readonly logger: Logger;
@@ -81,6 +81,7 @@
         retries,
         retryAdvice: new SpreadRetryAdvice(random),
         responseObserver,
+        shutdown: options.shutdown,
         metrics,
         logger: logger.withLabel("request"),
     };
@@ -89,7 +90,7 @@
     const handler = new GatewayHandler({
         dialect,
         configurationIndex: () => options.configurationIndex(),
-        shouldCloseConnections: () => options.shouldCloseConnections(),
+        shutdown: options.shutdown,
         plainForwarder: new PlainForwarder({ ...shared, servers }),
         streamForwarder: new StreamForwarder({
             ...shared,
--- a/src/errors/gateway-errors.ts
+++ b/src/errors/gateway-errors.ts
@@ -65,6 +65,22 @@
     }
 }
 
+const routerStoppedDefinition = defineError({
+    code: "router-stopped",
+    title: "The router stopped before the response was complete",
+    hint: "The request may have run. Raise the platform's shutdown grace period if requests regularly take longer.",
+    status: 504,
+});
+
+/** The grace period of the router's shutdown ended before the response was complete. */
+export class RouterStoppedError extends PomelostallError {
+    constructor() {
+        super(routerStoppedDefinition, "The router stopped before the response was complete.", {
+            outcome: Outcome.unknown,
+        });
+    }
+}
+
 const invalidResponseDefinition = defineError({
     code: "invalid-answer",
     title: "A backend server sent an invalid response",
--- a/src/errors/request-errors.ts
+++ b/src/errors/request-errors.ts
@@ -147,10 +147,10 @@
 
 /** The router accepts no new requests because it is shutting down. */
 export class RouterDrainingError extends PomelostallError {
-    constructor() {
+    constructor(retryAfterSeconds = 1) {
         super(routerDrainingDefinition, "This router is shutting down.", {
             outcome: Outcome.notRun,
-            retryAfterSeconds: 1,
+            retryAfterSeconds,
         });
     }
 }
--- a/src/request/gateway/gateway-handler.ts
+++ b/src/request/gateway/gateway-handler.ts
@@ -1,5 +1,6 @@
 /** Handles callers' requests: finds the route and the customer, reads the body, and forwards the request. */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import { monotonicNow } from "../../common/clock.js";
 import type { Logger } from "../../common/logger.js";
 import type { Metrics } from "../../common/metrics.js";
@@ -17,8 +18,11 @@
     NotFoundError,
     Outcome,
     PomelostallError,
+    RouterDrainingError,
+    RouterStoppedError,
     UnauthorizedError,
 } from "../../errors/index.js";
+import type { ShutdownGrace } from "../../process/gateway/shutdown-grace.js";
 import type { GatewayConfigurationIndex } from "../../version/gateway/gateway-configuration-index.js";
 import { watchDisconnection } from "../http/caller-disconnection.js";
 import { CallerResponse } from "./caller-response.js";
@@ -31,8 +35,7 @@
     readonly dialect: Dialect;
     /** The configuration version in force; a request uses the version that it started with until it ends. */
     configurationIndex(): GatewayConfigurationIndex | undefined;
-    /** Whether connections close after their next response. */
-    shouldCloseConnections(): boolean;
+    readonly shutdown: ShutdownGrace;
     readonly plainForwarder: PlainForwarder;
     readonly streamForwarder: StreamForwarder;
     readonly random: RandomSource;
@@ -48,42 +51,69 @@
 const bearerPattern = /^Bearer (.+)$/i;
 
 export class GatewayHandler {
-    private inFlight = 0;
+    /** Aborting cancels a request as if its caller had disconnected. */
+    private readonly running = new Set<AbortController>();
+    /** Requests that are being handled on each connection: more than one if its caller pipelines them. */
+    private readonly inFlightByConnection = new WeakMap<Socket, number>();
 
     constructor(private readonly dependencies: GatewayHandlerDependencies) {}
 
     /** Requests that have been received and whose handling has not ended. */
     get requestsInFlight(): number {
-        return this.inFlight;
+        return this.running.size;
+    }
+
+    /** Cancels all requests; those whose response has not started get an error response. */
+    cancelAll(): void {
+        [...this.running].forEach(controller => controller.abort());
     }
 
     readonly handle = (message: IncomingMessage, serverResponse: ServerResponse): void => {
-        this.inFlight++;
-        void this.serve(message, serverResponse).finally(() => {
-            this.inFlight--;
-        });
+        const { socket } = message;
+        const cancelled = new AbortController();
+        this.running.add(cancelled);
+        this.inFlightByConnection.set(socket, this.countInFlight(socket) + 1);
+        serverResponse.on("close", () => this.inFlightByConnection.set(socket, this.countInFlight(socket) - 1));
+        void this.serve(message, serverResponse, cancelled).finally(() => this.running.delete(cancelled));
     };
 
-    private async serve(message: IncomingMessage, serverResponse: ServerResponse): Promise<void> {
+    private countInFlight(socket: Socket): number {
+        return this.inFlightByConnection.get(socket) ?? 0;
+    }
+
+    /** During a shutdown, a connection closes after its last response; earlier ones are followed by others. */
+    private shouldClose(socket: Socket): boolean {
+        return this.dependencies.shutdown.begun && this.countInFlight(socket) <= 1;
+    }
+
+    private async serve(
+        message: IncomingMessage,
+        serverResponse: ServerResponse,
+        cancelled: AbortController,
+    ): Promise<void> {
         const receivedAt = monotonicNow();
-        const response = new CallerResponse(serverResponse, () => this.dependencies.shouldCloseConnections());
-        const callerGone = watchDisconnection(message, serverResponse);
-        callerGone.addEventListener("abort", () => this.logDisconnection(message, receivedAt));
+        const response = new CallerResponse(serverResponse, () => this.shouldClose(message.socket));
+        const disconnected = watchDisconnection(message, serverResponse);
+        disconnected.addEventListener("abort", () => {
+            this.logDisconnection(message, receivedAt);
+            cancelled.abort();
+        });
         serverResponse.on("finish", () => {
             const milliseconds = monotonicNow() - receivedAt;
             this.dependencies.metrics.timing("pomelostall.gateway.request_milliseconds", milliseconds, {
                 status: String(serverResponse.statusCode),
             });
             // A response that started before the shutdown has no `Connection: close` header.
-            if (this.dependencies.shouldCloseConnections()) {
+            if (this.shouldClose(message.socket)) {
                 message.socket.end();
             }
         });
         try {
-            await this.forwardRequest(message, response, receivedAt, callerGone);
+            await this.forwardRequest(message, response, receivedAt, cancelled.signal);
         }
         catch (error) {
-            this.respondWithError(message, response, receivedAt, error, callerGone);
+            const cause = cancelled.signal.aborted && !disconnected.aborted ? new RouterStoppedError() : error;
+            this.respondWithError(message, response, receivedAt, cause, disconnected);
         }
     }
 
@@ -100,6 +130,11 @@
         receivedAt: number,
         callerGone: AbortSignal,
     ): Promise<void> {
+        const { socket } = message;
+        if (this.dependencies.shutdown.begun && (this.countInFlight(socket) > 1 || !socket.writable)) {
+            // The connection closes after a response that is under way, so that this request's may not get through.
+            throw new RouterDrainingError(0);
+        }
         const version = await this.waitForVersion(message, callerGone);
         const request = await this.readRequest(message, version, receivedAt, callerGone);
         const service = version.configuration.services.get(request.service);
@@ -127,7 +162,14 @@
         callerGone: AbortSignal,
     ): Promise<GatewayConfigurationIndex> {
         const callerTimeout = Number(headerText(message, this.dependencies.dialect.headers.deadline) ?? 0);
-        const version = await pollUntilDefined(() => this.dependencies.configurationIndex(), {
+        const findVersion = () => {
+            const version = this.dependencies.configurationIndex();
+            if (version === undefined && this.dependencies.shutdown.begun) {
+                throw new RouterDrainingError(0);
+            }
+            return version;
+        };
+        const version = await pollUntilDefined(findVersion, {
             until: shortWaitEnd(monotonicNow(), callerTimeout || 0),
             callerGone,
         });
@@ -162,6 +204,10 @@
         }
         const callerTimeout = Number(headerText(message, headers.deadline) ?? Infinity);
         const timeout = Math.min(Number.isNaN(callerTimeout) ? Infinity : callerTimeout, route.timeoutMilliseconds);
+        const deadline = receivedAt + timeout;
+        if (!this.dependencies.shutdown.allowsStart(deadline)) {
+            throw new RouterDrainingError(0);
+        }
         return {
             id,
             method: message.method ?? "GET",
@@ -175,7 +221,7 @@
             tokens: this.dependencies.dialect.parseTokenCounts(headerText(message, headers.tokenCounts)),
             configurationVersion: version.version,
             receivedAt,
-            deadline: receivedAt + timeout,
+            deadline,
             callerGone,
         };
     }
--- a/src/request/gateway/plain-forwarder.ts
+++ b/src/request/gateway/plain-forwarder.ts
@@ -20,9 +20,11 @@
     ExchangeFailedError,
     NoServerAvailableError,
     Outcome,
+    RouterDrainingError,
 } from "../../errors/index.js";
 import type { LocalServerLoad } from "../../process/gateway/local-server-load.js";
 import type { ServerExclusions } from "../../process/gateway/server-exclusions.js";
+import type { ShutdownGrace } from "../../process/gateway/shutdown-grace.js";
 import type { WindowedRetryBudget } from "../../process/gateway/windowed-retry-budget.js";
 import type { CallerResponse } from "./caller-response.js";
 import { hasPassed } from "./deadline.js";
@@ -41,6 +43,7 @@
     readonly retries: WindowedRetryBudget;
     readonly retryAdvice: RetryAdvice;
     readonly responseObserver: ResponseObserver;
+    readonly shutdown: ShutdownGrace;
     readonly metrics: Metrics;
     readonly logger: Logger;
 }
@@ -89,6 +92,12 @@
         const retryable = request.route.kind === RouteKind.idempotent;
         this.dependencies.retries.recordRequest(request.service);
         for (;;) {
+            if (!this.dependencies.shutdown.allowsStart(request.deadline)) {
+                if (executions === 0) {
+                    throw new RouterDrainingError(0);
+                }
+                return this.finishWithoutSuccess(request, serverError, executions, reason);
+            }
             const server = this.dependencies.servers.choose(request.service, tried);
             const isFirstAttempt = tried.size === 0;
             if (server === undefined || (!isFirstAttempt && !this.dependencies.retries.tryConsume(request.service))) {
--- a/src/request/gateway/stream-request-handler.ts
+++ b/src/request/gateway/stream-request-handler.ts
@@ -15,10 +15,13 @@
     ExchangeFailedError,
     NoServerAvailableError,
     Outcome,
+    type PomelostallError,
+    RouterDrainingError,
 } from "../../errors/index.js";
 import type { FirstEventLatency } from "../../process/gateway/first-event-latency.js";
 import type { LocalServerLoad } from "../../process/gateway/local-server-load.js";
 import type { ServerRegistry } from "../../process/gateway/server-registry.js";
+import type { ShutdownGrace } from "../../process/gateway/shutdown-grace.js";
 import type { WindowedRetryBudget } from "../../process/gateway/windowed-retry-budget.js";
 import type { RunningAttempts, SupervisionDependencies } from "./attempt-supervisor.js";
 import type { CallerResponse } from "./caller-response.js";
@@ -43,6 +46,7 @@
     readonly firstEvents: FirstEventLatency;
     readonly retryAdvice: RetryAdvice;
     readonly responseObserver: ResponseObserver;
+    readonly shutdown: ShutdownGrace;
 }
 
 /** The request fails once backend servers have refused it more often than this, with Retry-After if it has not run. */
@@ -113,6 +117,7 @@
             ? this.patienceEnd
             : shortWaitEnd(request.receivedAt, request.deadline - request.receivedAt);
         const findPath = () => {
+            this.refuseLateInShutdown();
             const path = chooseAvoiding(this.avoidedServers)
                 ?? (monotonicNow() >= includeAvoidedAt ? chooseAvoiding(new Set()) : undefined);
             if (path === undefined) {
@@ -140,6 +145,18 @@
         return Math.min(request.deadline, waitingSince + callerPatienceMilliseconds(request.route));
     }
 
+    /**
+     * Ends a request that may not be sent to a backend server any more because this router is shutting down. A stream that
+     * has begun is continued, since it can no longer be answered with an error.
+     */
+    private refuseLateInShutdown(): void {
+        if (!this.response.started && !this.dependencies.shutdown.allowsStart(this.request.deadline)) {
+            throw this.executions > 0
+                ? new ExchangeFailedError("the router is shutting down")
+                : new RouterDrainingError(0);
+        }
+    }
+
     /** Refuses a request that has not run if the pauses that servers have requested outlast its wait for a path. */
     private refuseIfPausedBeyond(limit: number): void {
         const { dependencies, request, engine } = this;
@@ -197,6 +214,7 @@
             && request.route.resumable
             && this.executions < request.route.maximumAttempts
             && this.refusals <= maximumRefusals
+            && (this.response.started || dependencies.shutdown.allowsStart(request.deadline))
             && dependencies.retries.allows(request.service);
     }
 
@@ -334,7 +352,7 @@
         });
     }
 
-    private abortWith(error: DeadlineExceededError | ExchangeFailedError | NoServerAvailableError): never {
+    private abortWith(error: PomelostallError): never {
         if (this.response.started) {
             this.response.abortConnection();
         }
--- a/test/platform/gateway-fixture.ts
+++ b/test/platform/gateway-fixture.ts
@@ -243,6 +243,11 @@
         return { endedInOrder: await result, text: Buffer.concat(chunks).toString() };
     }
 
+    /** Stops the gateway that tests send their requests to; resolves once it has stopped. */
+    stopGateway(): Promise<void> {
+        return this.gateways[0]!.gateway.stop();
+    }
+
     async stop(): Promise<void> {
         await Promise.all(this.gateways.map(({ gateway }) => gateway.stop()));
         await Promise.all(this.servers.map(server => server.stop()));
--- a/test/platform/stand-ins/backend-server.ts
+++ b/test/platform/stand-ins/backend-server.ts
@@ -90,6 +90,8 @@
     sendsEventsTogether = false;
     /** Sends the head of a stream at once instead of with the first event. */
     sendsHeadEarly = false;
+    /** Delay of answers and failures that are not streams. */
+    answerMilliseconds = 0;
     /** Open connections on which bytes are sent without end. */
     endlessConnections = 0;
     endlessBytes = 0;
@@ -216,6 +218,7 @@
             this.sendWithoutEnd(request, unit);
             return;
         }
+        await new Promise(resolve => setTimeout(resolve, this.answerMilliseconds));
         const id = request.headers["x-attempt-id"] as string;
         if (this.rawStatus !== undefined) {
             const proof = `X-Attempt-Id: ${id}\r\nX-Replica-Seal: seal-${this.id}\r\n`;
