Complete responses that callers read slowly before a router stops

A router that shut down cut responses that were still buffered for callers that read slowly: of 12 MB, 3.9 MB arrived.

A request counted as handled when its response had been given to the HTTP server, so the router could stop with bytes unsent. And the HTTP server closes connections as idle once `end` has been called on their response, even if bytes of it are still buffered, which the shutdown did every 50 ms.

A request now counts as in flight until its response is written in full or its connection is closed, and `end` is called only when the buffer has drained.

Evidence: the test fails before the change ("Expected: >, Received: 3919872"), also with the first part alone. Each part was then taken out by hand by itself: the test failed both times.

--- a/src/request/gateway/caller-response.ts
+++ b/src/request/gateway/caller-response.ts
@@ -18,7 +18,8 @@
     writeBuffered(head: ResponseHead, body: Buffer): void {
         const headers = forwardedResponseHeaders(head.rawHeaders);
         this.writeHead(head.status, [...headers, "Content-Length", String(body.length)]);
-        this.response.end(body);
+        this.response.write(body);
+        this.endOnceWritten();
     }
 
     /** Writes the status and headers of a stream; the transfer framing is not copied from the backend server. */
@@ -37,7 +38,7 @@
     }
 
     endStream(): void {
-        this.response.end();
+        this.endOnceWritten();
     }
 
     /** Writes an error response that the gateway itself generates. */
@@ -55,6 +56,16 @@
         this.response.destroy();
     }
 
+    /** The HTTP server closes connections of ended responses as idle, even if bytes of them are still buffered. */
+    private endOnceWritten(): void {
+        if (this.response.writableNeedDrain) {
+            this.response.once("drain", () => this.response.end());
+        }
+        else {
+            this.response.end();
+        }
+    }
+
     private writeHead(status: number, headers: string[]): void {
         this.response.writeHead(status, this.closeAfterResponse() ? [...headers, "Connection", "close"] : headers);
     }
--- a/src/request/gateway/gateway-handler.ts
+++ b/src/request/gateway/gateway-handler.ts
@@ -58,7 +58,7 @@
 
     constructor(private readonly dependencies: GatewayHandlerDependencies) {}
 
-    /** Requests that have been received and whose handling has not ended. */
+    /** Requests that have been received and whose response has not been written in full. */
     get requestsInFlight(): number {
         return this.running.size;
     }
@@ -74,7 +74,16 @@
         this.running.add(cancelled);
         this.inFlightByConnection.set(socket, this.countInFlight(socket) + 1);
         serverResponse.on("close", () => this.inFlightByConnection.set(socket, this.countInFlight(socket) - 1));
-        void this.serve(message, serverResponse, cancelled).finally(() => this.running.delete(cancelled));
+        void this.serve(message, serverResponse, cancelled).finally(() => {
+            const end = () => this.running.delete(cancelled);
+            if (serverResponse.writableFinished || socket.destroyed) {
+                end();
+                return;
+            }
+            // A caller that reads slowly gets the rest of its response, which is buffered in this process.
+            serverResponse.once("finish", end);
+            socket.once("close", end);
+        });
     };
 
     private countInFlight(socket: Socket): number {
--- a/test/platform/shutdown.test.ts
+++ b/test/platform/shutdown.test.ts
@@ -198,3 +198,17 @@
     expect(performance.now() - startedAt).toBeLessThan(300);
     await stopped;
 });
+
+test("a response that its caller reads slowly arrives complete", async () => {
+    const [app] = await startWithApps(1);
+    app!.answerText = "x".repeat(12_000_000);
+    const { socket, text } = await open();
+    socket.pause();
+    socket.write(requestText("GET", "/look/1", "slow", ""));
+    await fixture.waitUntil(() => app!.received[0]?.endedAt !== undefined);
+    const stopped = fixture.stopGateway();
+    await pause(1_000);
+    socket.resume();
+    expect((await text).length).toBeGreaterThan(12_000_000);
+    await stopped;
+});
--- a/test/platform/stand-ins/backend-server.ts
+++ b/test/platform/stand-ins/backend-server.ts
@@ -90,6 +90,8 @@
     sendsEventsTogether = false;
     /** Sends the head of a stream at once instead of with the first event. */
     sendsHeadEarly = false;
+    /** Body of answers that are not streams; names the server by default. */
+    answerText: string | undefined;
     /** Delay of answers and failures that are not streams. */
     answerMilliseconds = 0;
     /** Open connections on which bytes are sent without end. */
@@ -256,7 +258,7 @@
                 break;
         }
         if (request.headers["x-hop-count"] === undefined) {
-            response.writeHead(200, headers).end(`answer of ${this.id}`);
+            response.writeHead(200, headers).end(this.answerText ?? `answer of ${this.id}`);
             return;
         }
         await this.stream(request, response, headers);
--- a/test/request/gateway/unsendable-requests.test.ts
+++ b/test/request/gateway/unsendable-requests.test.ts
@@ -11,6 +11,7 @@
 import { LocalServerLoad } from "../../../src/process/gateway/local-server-load.js";
 import { ServerExclusions } from "../../../src/process/gateway/server-exclusions.js";
 import { ServerRegistry } from "../../../src/process/gateway/server-registry.js";
+import { ShutdownGrace } from "../../../src/process/gateway/shutdown-grace.js";
 import { WindowedRetryBudget } from "../../../src/process/gateway/windowed-retry-budget.js";
 import { CallerResponse } from "../../../src/request/gateway/caller-response.js";
 import { GatewayHeaders } from "../../../src/request/gateway/headers.js";
@@ -64,6 +65,7 @@
         }),
         retryAdvice: new SpreadRetryAdvice(random),
         responseObserver: { responseReceived: () => undefined },
+        shutdown: new ShutdownGrace(),
         metrics: new SilentMetrics(),
         logger: new SilentLogger(),
     };
