Log the shared prompt parts, response head and events of each attempt of a stream

Callers saw streams break off while engines crashed one after the other. The log lines of attempts could not tell whether a request caused a crash or merely ran beside it: they did not name the prompt's parts, and `lastEventId` counts the events of all attempts of a request, not those of the attempt that broke off.

The `stream-attempt` lines get `streamStarted`, `deliveredEvents` and `sharedPromptParts`. No logic changes.

--- a/src/domain/gateway/dialect.ts
+++ b/src/domain/gateway/dialect.ts
@@ -23,6 +23,8 @@
     readonly lastEventId: string;
     /** Number of prompt tokens and maximum number of output tokens. */
     readonly tokenCounts: string;
+    /** The parts of the prompt in order, each with its number of tokens. */
+    readonly promptParts: string;
     /** The caller's estimate of the number of output tokens. */
     readonly lengthHint: string;
     /** Address of the backend server that caused the rejection of a request. */
@@ -47,6 +49,11 @@
     readonly headers: HeaderNames;
     formatLayerPath(path: readonly PathPart[]): string;
     parseTokenCounts(value: string | undefined): TokenCounts | undefined;
+    /**
+     * IDs of the prompt's parts that other requests may share, in the prompt's order and in lower case; none if the value
+     * is malformed.
+     */
+    parseSharedPromptParts(value: string | undefined): readonly string[];
     /** Returns undefined unless the value has the form `IP:PORT`. */
     parseAddress(value: string | undefined): SocketAddress | undefined;
     readonly reportPath: string;
--- a/src/request/gateway/gateway-handler.ts
+++ b/src/request/gateway/gateway-handler.ts
@@ -228,6 +228,9 @@
             customer: customer?.name,
             priority: Math.min(leastUrgentPriority, customer?.priority ?? route.priority),
             tokens: this.dependencies.dialect.parseTokenCounts(headerText(message, headers.tokenCounts)),
+            sharedPromptParts: this.dependencies.dialect.parseSharedPromptParts(
+                headerText(message, headers.promptParts),
+            ),
             configurationVersion: version.version,
             receivedAt,
             deadline,
--- a/src/request/gateway/stream-attempt.ts
+++ b/src/request/gateway/stream-attempt.ts
@@ -42,6 +42,10 @@
     readonly body?: Buffer;
     /** Whether the runtime refused to send the request, which says nothing about the servers of the path. */
     readonly unsendable?: boolean;
+    /** Whether a valid response head of a stream has arrived. */
+    readonly streamStarted: boolean;
+    /** Complete events that this attempt has delivered. */
+    readonly deliveredEvents: number;
 }
 
 export interface AttemptObserver {
@@ -66,7 +70,8 @@
     private head: ResponseHead | undefined;
     private readonly errorBody: Buffer[] = [];
     private errorBodyBytes = 0;
-    private hasDelivered = false;
+    private streamStarted = false;
+    private deliveredEvents = 0;
     /** Resolves once, however the attempt ends; never rejects. */
     readonly result: Promise<AttemptResult> = new Promise(resolve => {
         this.resolveResult = resolve;
@@ -111,6 +116,7 @@
             this.finish({ end: AttemptEnd.broken, reason: "response failed validation", head });
         }
         else if (head.status < lowestErrorStatus) {
+            this.streamStarted = true;
             this.observer.streamStarted(head);
         }
     }
@@ -132,7 +138,7 @@
                 });
                 return;
             }
-            this.hasDelivered = true;
+            this.deliveredEvents++;
         }
         if (this.splitter.exceedsMaximumSize) {
             this.finish({ end: AttemptEnd.broken, reason: "unterminated event exceeds the maximum event size" });
@@ -147,7 +153,7 @@
         else if (this.splitter.hasIncompleteEvent) {
             this.finish({ end: AttemptEnd.broken, reason: "response ended inside an event" });
         }
-        else if (this.head!.framing === ResponseFraming.untilClose && !this.hasDelivered) {
+        else if (this.head!.framing === ResponseFraming.untilClose && this.deliveredEvents === 0) {
             this.finish({ end: AttemptEnd.broken, reason: "connection ended before the first event" });
         }
         else {
@@ -166,9 +172,10 @@
         this.finish({ end: bytesWritten ? AttemptEnd.broken : AttemptEnd.notRun, reason, unsendable });
     }
 
-    private finish(result: AttemptResult): void {
+    private finish(result: Omit<AttemptResult, "streamStarted" | "deliveredEvents">): void {
         this.exchange.cancel();
-        this.resolveResult(result);
+        const { streamStarted, deliveredEvents } = this;
+        this.resolveResult({ ...result, streamStarted, deliveredEvents });
     }
 }
 
--- a/src/request/gateway/stream-request-handler.ts
+++ b/src/request/gateway/stream-request-handler.ts
@@ -373,6 +373,9 @@
                 atFault: this.serverAtFault(result),
                 cost: Math.round(path.cost),
                 registryGeneration: this.dependencies.registry.generation,
+                streamStarted: result.streamStarted,
+                deliveredEvents: result.deliveredEvents,
+                sharedPromptParts: this.request.sharedPromptParts.join(","),
                 lastEventId: this.progress.lastEventId,
                 firstEventMilliseconds: this.progress.firstEventAt === undefined
                     ? undefined
--- a/src/request/gateway/types.ts
+++ b/src/request/gateway/types.ts
@@ -20,6 +20,8 @@
     readonly priority: number;
     /** Undefined if the caller did not state valid token counts. */
     readonly tokens: TokenCounts | undefined;
+    /** IDs of the parts that the prompt shares with other requests, in the prompt's order. */
+    readonly sharedPromptParts: readonly string[];
     readonly configurationVersion: number;
     /** Monotonic time in milliseconds. */
     readonly receivedAt: number;
