Show that requests with a part that crashes engines reach one engine after the other

Callers saw streams of sound requests break off as often as engines crashed. The test runs three gateways over one store and eight engines that crash 60 ms after the head of any answer to a prompt with one part; such requests come at every gateway, no two alike, among sound requests with the same key and the same other parts.

The stand-in engine gets `crashingPromptPart`, `crash` and `restart`; the fixture starts several gateways on one store.

--- /dev/null
+++ b/test/platform/crashing-prompt-parts.test.ts
@@ -0,0 +1,149 @@
+/** Requests whose prompts have a part that crashes engines, at every gateway of a fleet, among sound requests. */
+import { afterEach, beforeEach, expect, jest, test } from "@jest/globals";
+import { engine, GatewayFixture, type GatewayResponse } from "./gateway-fixture.js";
+import { promptParts, StandInBackendServer } from "./stand-ins/backend-server.js";
+
+const crashingPart = "bad1";
+/** Part of all prompts, also of those with the crashing part. */
+const commonPart = "c0";
+const gatewayCount = 3;
+const serverCount = 8;
+const restartMilliseconds = 1_200;
+const crashingRequestMilliseconds = 350;
+const soundRequestMilliseconds = 25;
+/** A gateway may learn of the fifth crash up to this much later. */
+const noticeMilliseconds = 1_000;
+
+interface SoundRequest {
+    readonly id: string;
+    readonly sentAt: number;
+    readonly response: GatewayResponse;
+}
+
+let fixture: GatewayFixture;
+let crashes: number[];
+let soundRequests: Promise<SoundRequest>[];
+let timers: NodeJS.Timeout[];
+
+beforeEach(() => {
+    jest.useRealTimers();
+    crashes = [];
+    soundRequests = [];
+    timers = [];
+});
+afterEach(async () => {
+    timers.forEach(timer => clearTimeout(timer));
+    await fixture.stop();
+});
+
+const pause = (milliseconds: number) => new Promise(resolve => setTimeout(resolve, milliseconds));
+
+function createServers(): StandInBackendServer[] {
+    return Array.from({ length: serverCount }, (_value, index) => {
+        const server = new StandInBackendServer(`engine-${index}`, "pool");
+        server.layers = { from: 0, target: 20 };
+        server.onCrash = () => {
+            crashes.push(performance.now());
+            timers.push(
+                setTimeout(() => void server.restart().then(() => fixture.register(server)), restartMilliseconds),
+            );
+        };
+        return server;
+    });
+}
+
+async function startFleet(): Promise<void> {
+    const servers = createServers();
+    fixture = await GatewayFixture.start(servers);
+    const roomy = { ...engine, kinds: [{ ...engine.kinds[0], mb: 60_000 }] };
+    fixture.publish(1, {
+        services: [{ name: "pool", health_path: "/health", max_connections: 100, engine: roomy }],
+        routes: [{
+            name: "report",
+            host: "yard.example",
+            path_prefix: "/report-text/",
+            kind: "streaming",
+            service: "pool",
+            stream_resume: true,
+            gap_aim_ms: 200,
+            timeout_ms: 5_000,
+            target_latency_ms: 300,
+            max_attempts: 2,
+            priority: 1,
+            public: false,
+        }],
+    });
+    while (await fixture.addGateway() < gatewayCount - 1) {
+        // Adds the gateways one by one.
+    }
+    await waitUntilReady();
+}
+
+async function waitUntilReady(): Promise<void> {
+    for (let gateway = 0; gateway < gatewayCount; gateway++) {
+        await fixture.waitUntil(() => fixture.isReady(gateway));
+    }
+}
+
+function send(number: number, id: string, parts: readonly string[]): Promise<GatewayResponse> {
+    const prompt = [...parts, `${number + 4096}`].map(part => `${part}:10`).join(",");
+    return fixture.sendTo(number % gatewayCount, "POST", "/report-text/1", {
+        "X-Attempt-Id": id,
+        "X-Prompt-Prefix": prompt,
+        "X-Deadline-Ms": "4000",
+    }, "prompt");
+}
+
+/** Sends sound requests, and those with the crashing part, at all gateways in turn. */
+async function sendTraffic(crashingRequests: number): Promise<GatewayResponse[]> {
+    let soundCount = 0;
+    const soundTraffic = setInterval(() => {
+        const number = soundCount++;
+        const id = `sound-${number}`;
+        const sentAt = performance.now();
+        soundRequests.push(
+            send(number, id, [commonPart, `d${number % 5}`]).then(response => ({ id, sentAt, response })),
+        );
+    }, soundRequestMilliseconds);
+    timers.push(soundTraffic);
+    const crashing: Promise<GatewayResponse>[] = [];
+    for (let number = 0; number < crashingRequests; number++) {
+        await pause(crashingRequestMilliseconds);
+        crashing.push(send(number, `crashing-${number}`, [commonPart, crashingPart, `e${number}`]));
+    }
+    const responses = await Promise.all(crashing);
+    await pause(restartMilliseconds);
+    clearInterval(soundTraffic);
+    return responses;
+}
+
+const arrivals = () => fixture.servers.flatMap(({ received }) => received);
+const arrivalsOfCrashingPart = (since: number) =>
+    arrivals().filter(request => promptParts(request).includes(crashingPart) && request.receivedAt > since);
+
+async function expectSoundRequestsServedAtFirstAttempt(since: number): Promise<void> {
+    const sent = (await Promise.all(soundRequests)).filter(({ sentAt }) => sentAt > since);
+    const attempts = new Map<string, number>();
+    arrivals().forEach(({ headers }) => {
+        const id = headers["x-attempt-id"] as string;
+        attempts.set(id, (attempts.get(id) ?? 0) + 1);
+    });
+    const served = sent.filter(({ id, response }) =>
+        response.complete && response.status === 200 && attempts.get(id) === 1
+    );
+    expect(sent.length).toBeGreaterThan(30);
+    expect(served.length / sent.length).toBeGreaterThan(0.9);
+}
+
+test("requests with a part that crashed five servers reach no more servers, and sound ones are served", async () => {
+    await startFleet();
+    fixture.servers.forEach(server => {
+        server.crashingPromptPart = crashingPart;
+    });
+    const responses = await sendTraffic(12);
+    expect(crashes.length).toBeGreaterThanOrEqual(3);
+    const since = (crashes[4] ?? crashes.at(-1)!) + noticeMilliseconds;
+    expect(arrivalsOfCrashingPart(since).length).toBeLessThanOrEqual(3);
+    expect(responses.at(-1)).toMatchObject({ status: 503 });
+    await expectSoundRequestsServedAtFirstAttempt(since);
+}, 30_000);
--- a/test/platform/gateway-fixture.ts
+++ b/test/platform/gateway-fixture.ts
@@ -141,6 +141,13 @@
         this.gateways.unshift(await startGateway("edge-2", store, [this.gateways[0]!.peerAddress]));
     }
 
+    /** Starts another gateway on the same store; returns its number, which `sendTo` takes. */
+    async addGateway(): Promise<number> {
+        const number = this.gateways.length;
+        this.gateways.push(await startGateway(`edge-${number + 1}`, this.store.address, []));
+        return number;
+    }
+
     register(server: StandInBackendServer, changes: Record<string, unknown> = {}): void {
         this.store.put(`${serverKeyPrefix}${server.id}`, server.entry(changes));
     }
@@ -160,12 +167,22 @@
         throw new TypeError("condition not met within 400 checks");
     }
 
-    async isReady(): Promise<boolean> {
-        return (await sendRequest(this.gateways[0]!.readinessPort, "GET", "/ready", {})).status === 200;
+    async isReady(gateway = 0): Promise<boolean> {
+        return (await sendRequest(this.gateways[gateway]!.readinessPort, "GET", "/ready", {})).status === 200;
     }
 
     send(method: string, path: string, headers: Record<string, string> = {}, body?: string): Promise<GatewayResponse> {
-        return sendRequest(this.callerPort, method, path, {
+        return this.sendTo(0, method, path, headers, body);
+    }
+
+    sendTo(
+        gateway: number,
+        method: string,
+        path: string,
+        headers: Record<string, string> = {},
+        body?: string,
+    ): Promise<GatewayResponse> {
+        return sendRequest(this.gateways[gateway]!.callerPort, method, path, {
             "Host": "yard.example",
             "Authorization": "Bearer key-1",
             "X-Attempt-Id": "attempt-1",
@@ -248,6 +265,15 @@
         return this.gateways[0]!.gateway.stop();
     }
 
+    /** Stops all gateways and starts as many new ones, which know nothing but what the store holds. */
+    async restartGateways(): Promise<void> {
+        const stopped = this.gateways.splice(0);
+        await Promise.all(stopped.map(({ gateway }) => gateway.stop()));
+        for (const _gateway of stopped) {
+            await this.addGateway();
+        }
+    }
+
     async stop(): Promise<void> {
         await Promise.all(this.gateways.map(({ gateway }) => gateway.stop()));
         await Promise.all(this.servers.map(server => server.stop()));
--- a/test/platform/stand-ins/backend-server.ts
+++ b/test/platform/stand-ins/backend-server.ts
@@ -58,6 +58,8 @@
 export type CreateRawResponse = (request: IncomingMessage, proof: string) => RawResponse | undefined;
 
 const eventsInStream = 10;
+/** From the head of a response to the crash that its prompt causes. */
+const crashDelayMilliseconds = 60;
 
 interface EndlessUnit {
     readonly start: string;
@@ -110,6 +112,11 @@
     announcesLeaving = false;
     /** Retry-After of refusals. */
     retryAfter: string | undefined;
+    /** Crashes before the first event of a stream whose prompt has this part; the test has it restarted. */
+    crashingPromptPart: string | undefined;
+    /** Called at each crash, with the number of the start that ended, from 1. */
+    onCrash: (start: number) => void = () => undefined;
+    private starts = 1;
     private acceptedOrders = 0;
     private port = 0;
     private readonly server: Server = createServer((request, response) => void this.handle(request, response));
@@ -127,6 +134,22 @@
         await new Promise(resolve => this.server.close(resolve));
     }
 
+    /** Closes all connections and accepts none until it is restarted. */
+    crash(): void {
+        if (this.server.listening) {
+            this.server.close();
+            this.server.closeAllConnections();
+            this.onCrash(this.starts);
+        }
+    }
+
+    /** Starts again on the same port after a crash, with the same layers. */
+    async restart(): Promise<void> {
+        this.starts++;
+        this.acceptedOrders = 0;
+        await new Promise<void>(resolve => this.server.listen(this.port, "127.0.0.1", resolve));
+    }
+
     get address(): string {
         return `127.0.0.1:${this.port}`;
     }
@@ -142,7 +165,7 @@
             state: "ready",
             warmup_left_ms: 0,
             seq: 1,
-            born: 1,
+            born: this.starts,
             kind: "small",
             ...(this.layers === undefined ? {} : { layers: { ...this.layers, version: 1 } }),
             ...changes,
@@ -166,7 +189,7 @@
             return;
         }
         if (request.url === "/report") {
-            const report = { busy: false, seq: this.acceptedOrders, born: 1, layers: this.layers };
+            const report = { busy: false, seq: this.acceptedOrders, born: this.starts, layers: this.layers };
             response.end(JSON.stringify(report));
             return;
         }
@@ -307,6 +330,11 @@
         if (this.sendsHeadEarly) {
             response.flushHeaders();
         }
+        if (this.crashingPromptPart !== undefined && promptParts(request).includes(this.crashingPromptPart)) {
+            response.flushHeaders();
+            setTimeout(() => this.crash(), crashDelayMilliseconds);
+            return;
+        }
         const first = Number(request.headers["last-event-id"] ?? 0) + 1;
         if (this.sendsEventsTogether) {
             const ids = Array.from({ length: eventsInStream - first + 1 }, (_value, index) => first + index);
@@ -329,3 +357,8 @@
         response.end();
     }
 }
+
+/** IDs of the parts of the request's prompt. */
+export function promptParts({ headers }: Pick<IncomingMessage, "headers">): string[] {
+    return String(headers["x-prompt-prefix"] ?? "").split(",").map(part => part.split(":")[0]!);
+}
--- a/test/platform/stand-ins/store.ts
+++ b/test/platform/stand-ins/store.ts
@@ -38,6 +38,10 @@
 
     async start(): Promise<{ host: string; port: number; }> {
         await new Promise<void>(resolve => this.server.listen(0, "127.0.0.1", resolve));
+        return this.address;
+    }
+
+    get address(): { host: string; port: number; } {
         return { host: "127.0.0.1", port: (this.server.address() as AddressInfo).port };
     }
 
--- a/test/request/gateway/unsendable-requests.test.ts
+++ b/test/request/gateway/unsendable-requests.test.ts
@@ -42,6 +42,7 @@
         customer: unsendableName,
         priority: 1,
         tokens: undefined,
+        sharedPromptParts: [],
         configurationVersion: 1,
         receivedAt: performance.now(),
         deadline: performance.now() + 1_000,
