Decide which shared part of a prompt crashes engines, from evidence of several routers

Nothing related a crash to the content of the requests that ran on the engine: each request was limited alone, and requests with the same defective part crashed one engine after the other. One crash breaks off several attempts, some of them sound, and different routers see them.

`ExplainingAwayAttribution` takes the part with the highest share of crashes among its crashes and successes, sets the crashes aside that it explains, and repeats. A part needs three crashed servers, a share of a fifth, and 1.5 s between the first and the last crash: servers that a rack takes with it are lost at one moment and blame nothing. One success is assumed for each part, so that a rare sound part that has never succeeded does not rank before a defective one that has spared a server. The baseline `CountingAttribution` names every part near three crashes.

Not wired yet.

--- /dev/null
+++ b/src/process/gateway/prompt-quarantine/crash-attribution.ts
@@ -0,0 +1,89 @@
+/**
+ * Decides which parts of prompts crash backend servers. Answers the load pattern of a few requests with a defective part
+ * among many sound ones: each crash breaks off several attempts, whose prompts also share parts with the defective ones,
+ * and no router sees all of them.
+ */
+import type { CrashAttribution, CrashCause, CrashEvidence, OwnSuccesses } from "./types.js";
+
+/** Fewer crashes may have come together by chance. */
+const minimumCrashes = 3;
+/** A defective part may spare some servers; a sound one succeeds far more often than it is near a crash. */
+const minimumCrashShare = 0.2;
+/** Servers that are lost at the same moment, as with their rack, say nothing about the requests that ran on them. */
+const minimumSpanMilliseconds = 1_500;
+/** Assumed success of each part, so that of two parts without successes the one with more crashes ranks first. */
+const assumedSuccesses = 1;
+
+/** Baseline: names every part that was near enough crashes, which includes the parts that defective prompts share. */
+export class CountingAttribution implements CrashAttribution {
+    findCauses(evidence: readonly CrashEvidence[], own: OwnSuccesses): CrashCause[] {
+        return [...collectParts(evidence, own).entries()]
+            .map(([part, { servers, successes }]) => ({ part, crashes: servers.size, successes }))
+            .filter(({ crashes }) => crashes >= minimumCrashes);
+    }
+}
+
+/** Names the likeliest part, sets the crashes aside that it explains, and repeats with the remaining ones. */
+export class ExplainingAwayAttribution implements CrashAttribution {
+    findCauses(evidence: readonly CrashEvidence[], own: OwnSuccesses): CrashCause[] {
+        const parts = collectParts(evidence, own);
+        const causes: CrashCause[] = [];
+        for (let likeliest = findLikeliest(parts); likeliest !== undefined; likeliest = findLikeliest(parts)) {
+            const [part, { servers, successes }] = likeliest;
+            causes.push({ part, crashes: servers.size, successes });
+            const explained = new Set(servers.keys());
+            parts.forEach(other => explained.forEach(server => other.servers.delete(server)));
+        }
+        return causes;
+    }
+}
+
+interface PartEvidence {
+    /** When this router learnt of each crash that the part was near, by server start. */
+    readonly servers: Map<string, number>;
+    successes: number;
+    /** Index in the latest prompt. */
+    position: number;
+}
+
+function collectParts(evidence: readonly CrashEvidence[], own: OwnSuccesses): Map<string, PartEvidence> {
+    const parts = new Map<string, PartEvidence>();
+    const latestCounts = new Map<string, Map<string, number>>();
+    for (const { serverStart, witness, parts: witnessedParts, learntAt } of evidence) {
+        witnessedParts.forEach(({ id, successes }, position) => {
+            const part = parts.get(id) ?? { servers: new Map<string, number>(), successes: 0, position };
+            part.servers.set(serverStart, Math.min(learntAt, part.servers.get(serverStart) ?? Infinity));
+            part.position = position;
+            parts.set(id, part);
+            const counts = latestCounts.get(id) ?? new Map<string, number>();
+            latestCounts.set(id, counts.set(witness, successes));
+        });
+    }
+    for (const [id, part] of parts) {
+        const counts = latestCounts.get(id)!.set(own.witness, own.count(id));
+        part.successes = [...counts.values()].reduce((sum, count) => sum + count, 0);
+    }
+    return parts;
+}
+
+function findLikeliest(parts: ReadonlyMap<string, PartEvidence>): [string, PartEvidence] | undefined {
+    return [...parts].filter(([, part]) => isSuspect(part)).sort(compareLikelihood)[0];
+}
+
+function isSuspect({ servers, successes }: PartEvidence): boolean {
+    const times = [...servers.values()];
+    return servers.size >= minimumCrashes
+        && servers.size >= minimumCrashShare * (servers.size + successes)
+        && Math.max(...times) - Math.min(...times) >= minimumSpanMilliseconds;
+}
+
+/** Orders by falling share of crashes; parts further back in a prompt are shared by fewer requests. */
+function compareLikelihood([leftId, left]: [string, PartEvidence], [rightId, right]: [string, PartEvidence]): number {
+    return crashShare(right) - crashShare(left)
+        || right.position - left.position
+        || (leftId < rightId ? -1 : 1);
+}
+
+function crashShare({ servers, successes }: PartEvidence): number {
+    return servers.size / (servers.size + successes + assumedSuccesses);
+}
--- /dev/null
+++ b/src/process/gateway/prompt-quarantine/types.ts
@@ -0,0 +1,38 @@
+/** Evidence of crashes of backend servers and the decision about their cause. */
+
+/** A shared part of a prompt, with the successes that the witness had seen of it when the server crashed. */
+export interface WitnessedPart {
+    readonly id: string;
+    readonly successes: number;
+}
+
+/** What one router saw of a crash: an attempt that broke off at the moment at which a backend server crashed. */
+export interface CrashEvidence {
+    /** Identifies one start of a backend server. */
+    readonly serverStart: string;
+    /** Identifies the process of the router that saw the attempt break off. */
+    readonly witness: string;
+    /** Shared parts of the attempt's prompt, in the prompt's order. */
+    readonly parts: readonly WitnessedPart[];
+    /** Monotonic time in milliseconds at which this router learnt of the crash. */
+    readonly learntAt: number;
+}
+
+/** Successes that this router has seen itself. */
+export interface OwnSuccesses {
+    readonly witness: string;
+    count(part: string): number;
+}
+
+/** A part that crashes backend servers, with the counts that say so. */
+export interface CrashCause {
+    readonly part: string;
+    /** Crashes that no part with stronger evidence explains. */
+    readonly crashes: number;
+    readonly successes: number;
+}
+
+export interface CrashAttribution {
+    /** Returns the parts that crash backend servers, with the strongest evidence first. `evidence` is in order of time. */
+    findCauses(evidence: readonly CrashEvidence[], own: OwnSuccesses): CrashCause[];
+}
