Block prompt parts that crash engines on all routers

Callers saw streams break off while engines crashed one after the other under requests with one defective part of a prompt, new ones and repeats alike: nothing related a crash to the content of the requests that ran on the engine, and `max_attempts` and the retry budget limit each request alone.

An attempt whose connection broke off after its head and before its second event, at a server that takes no connections 0.35 s later, is a suspect. Its router writes the shared parts of its prompt, with its own counts of their successes, to the store under `pomelostall/prompt-crashes/`, bound to a lease of ten minutes that is not renewed. All routers watch the store already. A router that has itself seen a part at a crash decides by `ExplainingAwayAttribution`, applies the block at once and writes `pomelostall/blocked-prompt-parts/PART` under another such lease; the others apply the key when they see it. Before every attempt a request with a blocked part is refused (`prompt-part-blocked`, 503, not run, Retry-After), or ends as failed if it may have run. A request that was a suspect in two crashes is not sent on.

The store holds the block because it must outlive a restart of all routers. Writes wait in a bounded queue while the store is away, at 2 a second and router (8 at once); a write whose outcome is unknown is repeated under the same key. The check waits 0.35 s because the results of reachability checks are shared for 0.3 s, and one that began before the crash would clear the attempt.

--- a/src/daemon/gateway/gateway-state.ts
+++ b/src/daemon/gateway/gateway-state.ts
@@ -2,7 +2,9 @@
  * Composes the state that a gateway replicates from the platform's store: the configuration, the registry of backend
  * servers, the routers of the fleet and the placement leadership.
  */
+import type { ManagedComponent } from "../../common/life-cycle.js";
 import type { Logger } from "../../common/logger.js";
+import type { Metrics } from "../../common/metrics.js";
 import type { RandomSource } from "../../common/random.js";
 import { HttpLeadershipHandover } from "../../connection/gateway/peer-leadership.js";
 import { HttpSnapshotSource } from "../../connection/gateway/peer-snapshots.js";
@@ -10,6 +12,7 @@
 import { ActiveConfiguration } from "../../process/gateway/active-configuration.js";
 import { PlacementLeadership } from "../../process/gateway/layer-placement/placement-leadership.js";
 import { PeerSnapshotFallback } from "../../process/gateway/peer-snapshot-fallback.js";
+import type { PromptQuarantine } from "../../process/gateway/prompt-quarantine/prompt-quarantine.js";
 import { FleetReadPacing } from "../../process/gateway/read-pacing.js";
 import { RouterDirectory } from "../../process/gateway/router-directory.js";
 import { ServerRegistry } from "../../process/gateway/server-registry.js";
@@ -18,6 +21,7 @@
 import { StoreDispatcher } from "../../process/gateway/store-dispatcher.js";
 import { StoreWatcher } from "../../process/gateway/store-watcher.js";
 import type { GatewayPlatform } from "./platform.js";
+import { createPromptQuarantine } from "./prompt-quarantine.js";
 
 /**
  * Fraction of the drain period for which a leaving server, one that is draining or was removed from the registry, may
@@ -33,6 +37,9 @@
     readonly storeWatcher: StoreWatcher;
     readonly storeCache: StoreCache;
     readonly snapshotFallback: PeerSnapshotFallback;
+    readonly quarantine: PromptQuarantine;
+    /** Write the quarantine's records to the store. */
+    readonly recordWriters: readonly ManagedComponent[];
     /** Time for which a server may still receive requests after this router has learned that the server is leaving. */
     readonly leavingUseMilliseconds: number;
 }
@@ -41,8 +48,10 @@
     settings: GatewaySettings,
     { store, layout }: GatewayPlatform,
     random: RandomSource,
+    metrics: Metrics,
     logger: Logger,
 ): GatewayState {
+    const processName = createProcessName(settings.router.name, random);
     const leavingUseMilliseconds = settings.bounds.drainMilliseconds * leavingUseShare;
     const configuration = new ActiveConfiguration(logger.withLabel("configuration"));
     const registry = new ServerRegistry(leavingUseMilliseconds, logger.withLabel("registry"));
@@ -56,14 +65,31 @@
     const leadership = new PlacementLeadership(
         store,
         layout.placementLeaderKey,
-        createLeaseHolderName(settings.router.name, random),
+        processName,
         settings.store.minimumLeaseMilliseconds,
         new HttpLeadershipHandover(() => routers.others, logger.withLabel("placement")),
         random,
         logger.withLabel("placement"),
     );
+    const { quarantine, recordWriters } = createPromptQuarantine({
+        processName,
+        store,
+        layout,
+        configuration,
+        random,
+        metrics,
+        logger,
+    });
     const storeLogger = logger.withLabel("store");
-    const dispatcher = new StoreDispatcher(layout, configuration, registry, routers, leadership, storeLogger);
+    const dispatcher = new StoreDispatcher(
+        layout,
+        configuration,
+        registry,
+        routers,
+        leadership,
+        quarantine,
+        storeLogger,
+    );
     const storeCache = new StoreCache(dispatcher);
     const pacing = new FleetReadPacing(settings.bounds);
     const storeWatcher = new StoreWatcher(
@@ -92,14 +118,16 @@
         storeWatcher,
         storeCache,
         snapshotFallback,
+        quarantine,
+        recordWriters,
         leavingUseMilliseconds,
     };
 }
 
 /**
- * Contains a random suffix that distinguishes this process from earlier ones of the router, whose lease may still be
- * valid.
+ * Contains a random suffix that distinguishes this process from earlier ones of the router, whose lease and
+ * records may still be valid.
  */
-function createLeaseHolderName(router: string, random: RandomSource): string {
+function createProcessName(router: string, random: RandomSource): string {
     return `${router}/${Math.floor(random.next() * Number.MAX_SAFE_INTEGER).toString(36)}`;
 }
--- a/src/daemon/gateway/gateway.ts
+++ b/src/daemon/gateway/gateway.ts
@@ -47,7 +47,7 @@
     ) {
         const random = new SystemRandom();
         this.lifeCycle = new LifeCycle(logger, componentStopTimeoutMilliseconds);
-        this.state = createGatewayState(settings, platform, random, logger);
+        this.state = createGatewayState(settings, platform, random, metrics, logger);
         this.requestPath = createRequestPath({
             settings,
             platform,
@@ -120,7 +120,7 @@
     private addComponents(metrics: PrometheusMetrics): void {
         const { listen } = this.settings;
         const { fleetLoad, retries } = this.requestPath;
-        const { registry, storeWatcher, storeCache, snapshotFallback, routers, leadership } = this.state;
+        const { registry, storeWatcher, storeCache, snapshotFallback, routers, leadership, recordWriters } = this.state;
         const readiness = createServer((_request, response) => {
             response.writeHead(this.isReady() ? 200 : 503, { "Content-Length": "0" });
             response.end();
@@ -142,6 +142,7 @@
         this.lifeCycle.add(createManagedListener("peer listener", peers, listen.peers));
         this.lifeCycle.add(createManagedListener("metrics listener", createMetricsServer(metrics), listen.metrics));
         this.lifeCycle.add(storeWatcher);
+        recordWriters.forEach(writer => this.lifeCycle.add(writer));
         this.lifeCycle.add(snapshotFallback);
         this.lifeCycle.add(routers);
         this.lifeCycle.add(leadership);
--- a/src/daemon/gateway/request-path.ts
+++ b/src/daemon/gateway/request-path.ts
@@ -78,6 +78,7 @@
         headers: new GatewayHeaders(dialect),
         load,
         exclusions,
+        quarantine: state.quarantine,
         retries,
         retryAdvice: new SpreadRetryAdvice(random),
         responseObserver,
--- a/src/domain/gateway/store-layout.ts
+++ b/src/domain/gateway/store-layout.ts
@@ -12,6 +12,10 @@
     readonly placementLeaderKey: string;
     /** Prefix of the keys of routers; the router's name follows. The value is its address for other routers. */
     readonly routerKeyPrefix: string;
+    /** Prefix of the keys of evidence of crashes that prompts may have caused. */
+    readonly crashEvidenceKeyPrefix: string;
+    /** Prefix of the keys of blocked prompt parts; the ID of the part follows. */
+    readonly blockedPartKeyPrefix: string;
     /** Throws MalformedConfigurationError if the value is not a valid configuration. */
     decodeConfiguration(value: Buffer): GatewayConfiguration;
     /** Returns undefined if the value does not describe a usable backend server. */
--- a/src/errors/gateway-errors.ts
+++ b/src/errors/gateway-errors.ts
@@ -93,3 +93,21 @@
         super(invalidResponseDefinition, `The response of ${server} was discarded: ${reason}.`);
     }
 }
+
+const promptPartBlockedDefinition = defineError({
+    code: "prompt-part-blocked",
+    title: "A part of the prompt has crashed backend servers",
+    hint:
+        "Leave the part out, or wait for the time given in Retry-After. docs/OPERATIONS.md says how to lift the block.",
+    status: 503,
+});
+
+/** The prompt has a part under which several backend servers crashed; the request has not run. */
+export class PromptPartBlockedError extends PomelostallError {
+    constructor(part: string, retryAfterSeconds: number) {
+        super(promptPartBlockedDefinition, `Backend servers crashed under requests with the prompt part ${part}.`, {
+            outcome: Outcome.notRun,
+            retryAfterSeconds,
+        });
+    }
+}
--- /dev/null
+++ b/src/process/gateway/prompt-quarantine/blocked-parts.ts
@@ -0,0 +1,53 @@
+/**
+ * The prompt parts that are blocked now. A block ends when its key leaves the store, or after its duration: a repaired
+ * engine is tried again.
+ */
+import { monotonicNow } from "../../../common/clock.js";
+
+/** Also the longest lease that the platform's store grants. */
+export const blockMilliseconds = 600_000;
+/** A defect concerns few parts; more keys than this were not written by routers. */
+const maximumParts = 1_000;
+
+interface Block {
+    /** Monotonic time in milliseconds. */
+    readonly endsAt: number;
+    /** Whether the store is known to hold the key. */
+    stored: boolean;
+}
+
+export class BlockedParts {
+    private readonly blocks = new Map<string, Block>();
+
+    /** Begins a block that this router has decided on, and that the store does not hold yet. */
+    begin(part: string): void {
+        this.blocks.set(part, { endsAt: monotonicNow() + blockMilliseconds, stored: false });
+    }
+
+    /** Applies a key of the store. A known block keeps its end. */
+    confirm(part: string): void {
+        const block = this.blocks.get(part);
+        if (block !== undefined) {
+            block.stored = true;
+        }
+        else if (this.blocks.size < maximumParts) {
+            this.blocks.set(part, { endsAt: monotonicNow() + blockMilliseconds, stored: true });
+        }
+    }
+
+    remove(part: string): void {
+        this.blocks.delete(part);
+    }
+
+    /** Ends all blocks whose keys the store has held, except those of the given parts; returns the ended ones. */
+    retain(parts: ReadonlySet<string>): string[] {
+        const ended = [...this.blocks].filter(([part, { stored }]) => stored && !parts.has(part)).map(([part]) => part);
+        ended.forEach(part => this.blocks.delete(part));
+        return ended;
+    }
+
+    /** Milliseconds until the block of the part ends; 0 if it is not blocked. */
+    remainingMilliseconds(part: string): number {
+        return Math.max(0, (this.blocks.get(part)?.endsAt ?? -Infinity) - monotonicNow());
+    }
+}
--- /dev/null
+++ b/src/process/gateway/prompt-quarantine/prompt-quarantine.ts
@@ -0,0 +1,190 @@
+/**
+ * Blocks parts of prompts that crash backend servers, on all routers. Routers share their evidence through the platform's
+ * store, which every router watches anyway, and which outlives a restart of all of them. A router that has itself seen an
+ * attempt with the part break off decides, applies the block at once and stores it.
+ */
+import { LRUCache } from "lru-cache";
+import { monotonicNow } from "../../../common/clock.js";
+import type { Logger } from "../../../common/logger.js";
+import type { Metrics } from "../../../common/metrics.js";
+import type { ItemChange, StoredItem } from "../../../domain/gateway/metadata-store.js";
+import type { ServerEntry } from "../../../domain/gateway/server-entry.js";
+import { BlockedParts } from "./blocked-parts.js";
+import { EvidenceLog } from "./evidence-log.js";
+import type { LeasedRecord } from "./leased-record-writer.js";
+import { createEvidenceKey, decodeBlockedPart, decodeEvidence, encodeBlock, encodeEvidence } from "./store-records.js";
+import { SuccessCounts } from "./success-counts.js";
+import type { CrashAttribution, CrashCause, CrashEvidence } from "./types.js";
+
+const maximumWitnessedParts = 1_000;
+
+export interface PromptQuarantineDependencies {
+    /** Identifies this process among all processes of all routers. */
+    readonly witness: string;
+    readonly evidencePrefix: string;
+    readonly blockPrefix: string;
+    readonly attribution: CrashAttribution;
+    readonly writeEvidence: (record: LeasedRecord) => void;
+    readonly writeBlock: (record: LeasedRecord) => void;
+    readonly configurationVersion: () => number;
+    readonly metrics: Metrics;
+    readonly logger: Logger;
+}
+
+export interface PromptBlock {
+    readonly part: string;
+    readonly remainingMilliseconds: number;
+}
+
+export class PromptQuarantine {
+    private readonly successes = new SuccessCounts();
+    private readonly evidence = new EvidenceLog();
+    private readonly blocked = new BlockedParts();
+    /** Parts of attempts that broke off at a crash here; a part is removed when its block ends. */
+    private readonly witnessedParts = new LRUCache<string, true>({ max: maximumWitnessedParts });
+
+    constructor(private readonly dependencies: PromptQuarantineDependencies) {}
+
+    /** The first of the parts that is blocked; undefined if none is. */
+    findBlock(parts: readonly string[]): PromptBlock | undefined {
+        const part = parts.find(id => this.blocked.remainingMilliseconds(id) > 0);
+        return part === undefined
+            ? undefined
+            : { part, remainingMilliseconds: this.blocked.remainingMilliseconds(part) };
+    }
+
+    /** Records an attempt that got past the point at which defective parts crash servers. */
+    recordSuccess(parts: readonly string[]): void {
+        parts.forEach(part => this.successes.record(part));
+    }
+
+    /** Records an attempt that may have crashed its server. */
+    recordSuspect(server: ServerEntry, parts: readonly string[]): void {
+        const { dependencies } = this;
+        const key = createEvidenceKey(dependencies.evidencePrefix);
+        const evidence: CrashEvidence = {
+            serverStart: `${server.id}@${server.bornAt ?? ""}`,
+            witness: dependencies.witness,
+            parts: parts.map(id => ({ id, successes: this.successes.count(id) })),
+            learntAt: monotonicNow(),
+        };
+        if (this.evidence.isReported(evidence)) {
+            return;
+        }
+        dependencies.metrics.increment("pomelostall.gateway.crash_suspects");
+        parts.forEach(part => this.witnessedParts.set(part, true));
+        this.evidence.add(key, evidence);
+        dependencies.writeEvidence({ key, value: encodeEvidence(evidence) });
+        this.decide();
+    }
+
+    /** Receives all items of the store; other keys are ignored. */
+    replaceAll(items: readonly StoredItem[]): void {
+        const { evidencePrefix, blockPrefix } = this.dependencies;
+        const storedParts = items.filter(({ key }) => key.startsWith(blockPrefix)).map(item =>
+            this.confirmBlock(item.key)
+        );
+        this.blocked.retain(new Set(storedParts.filter(part => part !== undefined)))
+            .forEach(part => this.handleEnd(part));
+        items.filter(({ key }) => key.startsWith(evidencePrefix))
+            .sort((left, right) => left.revision - right.revision)
+            .forEach(({ key, value }) => this.addEvidence(key, value));
+        this.decide();
+    }
+
+    /** Returns whether the key is one of the quarantine's. */
+    applyChange({ key, value }: ItemChange): boolean {
+        const { evidencePrefix, blockPrefix } = this.dependencies;
+        if (key.startsWith(evidencePrefix)) {
+            this.applyEvidence(key, value);
+            return true;
+        }
+        if (key.startsWith(blockPrefix)) {
+            this.applyBlock(key, value);
+            return true;
+        }
+        return false;
+    }
+
+    private applyEvidence(key: string, value: Buffer | undefined): void {
+        if (value === undefined) {
+            this.evidence.remove(key);
+        }
+        else if (this.addEvidence(key, value)) {
+            this.decide();
+        }
+    }
+
+    private applyBlock(key: string, value: Buffer | undefined): void {
+        if (value !== undefined) {
+            this.confirmBlock(key);
+            return;
+        }
+        const part = decodeBlockedPart(key, this.dependencies.blockPrefix);
+        if (part !== undefined) {
+            this.blocked.remove(part);
+            this.handleEnd(part);
+        }
+    }
+
+    /** From now on, the part needs another crash here before this router blocks it again. */
+    private handleEnd(part: string): void {
+        this.witnessedParts.delete(part);
+        this.dependencies.logger.info("prompt part no longer blocked", { part });
+    }
+
+    /** Returns whether the value is new evidence. */
+    private addEvidence(key: string, value: Buffer): boolean {
+        const evidence = decodeEvidence(value, monotonicNow());
+        if (evidence === undefined) {
+            this.dependencies.logger.warn("crash evidence cannot be decoded; ignored", { key, bytes: value.length });
+        }
+        return evidence !== undefined && this.evidence.add(key, evidence);
+    }
+
+    /** Returns the part that the key names; undefined if it names none. */
+    private confirmBlock(key: string): string | undefined {
+        const { blockPrefix, logger } = this.dependencies;
+        const part = decodeBlockedPart(key, blockPrefix);
+        if (part === undefined) {
+            logger.warn("key of a blocked prompt part cannot be decoded; ignored", { key });
+            return undefined;
+        }
+        if (this.blocked.remainingMilliseconds(part) === 0) {
+            logger.info("prompt part blocked by the store", { part });
+        }
+        this.blocked.confirm(part);
+        return part;
+    }
+
+    private decide(): void {
+        if (this.witnessedParts.size === 0) {
+            return;
+        }
+        const { attribution, witness } = this.dependencies;
+        const own = { witness, count: (part: string) => this.successes.count(part) };
+        attribution.findCauses(this.evidence.all, own)
+            .filter(({ part }) => this.witnessedParts.has(part) && this.blocked.remainingMilliseconds(part) === 0)
+            .forEach(cause => this.block(cause));
+    }
+
+    private block(cause: CrashCause): void {
+        const { dependencies } = this;
+        const { part, crashes, successes } = cause;
+        this.blocked.begin(part);
+        dependencies.writeBlock({
+            key: dependencies.blockPrefix + part,
+            value: encodeBlock(cause, dependencies.witness),
+        });
+        dependencies.metrics.increment("pomelostall.gateway.prompt_part_blocks");
+        dependencies.logger.decision({
+            kind: "block-prompt-part",
+            chosen: part,
+            over: [...new Set(this.evidence.all.flatMap(({ parts }) => parts.map(({ id }) => id)))]
+                .filter(id => id !== part),
+            reason: "backend servers crashed under requests with this part",
+            configurationVersion: dependencies.configurationVersion(),
+            fields: { crashes, successes, evidence: this.evidence.all.length },
+        });
+    }
+}
--- a/src/process/gateway/store-dispatcher.ts
+++ b/src/process/gateway/store-dispatcher.ts
@@ -1,7 +1,8 @@
 /**
  * Decodes the contents of the platform's store and passes each item on to the object that uses it: the configuration,
- * the registered backend servers and routers, and the placement leader's key. If a configuration cannot be decoded, the
- * previous one stays active. A backend server or router whose value cannot be decoded counts as not registered.
+ * the registered backend servers and routers, the placement leader's key, and the blocked prompt parts. If a configuration
+ * cannot be decoded, the previous one stays active. A backend server or router whose value cannot be decoded counts as not
+ * registered.
  */
 import type { Logger } from "../../common/logger.js";
 import type { GatewayConfiguration } from "../../domain/gateway/configuration.js";
@@ -10,6 +11,7 @@
 import type { StoreLayout } from "../../domain/gateway/store-layout.js";
 import { MalformedConfigurationError } from "../../errors/index.js";
 import type { ActiveConfiguration } from "./active-configuration.js";
+import type { PromptQuarantine } from "./prompt-quarantine/prompt-quarantine.js";
 import type { RouterDirectory } from "./router-directory.js";
 import type { ServerRegistry } from "./server-registry.js";
 import type { StoreObserver } from "./store-watcher.js";
@@ -26,6 +28,7 @@
         private readonly registry: ServerRegistry,
         private readonly routers: RouterDirectory,
         private readonly leaderObserver: LeaderKeyObserver,
+        private readonly quarantine: PromptQuarantine,
         private readonly logger: Logger,
     ) {}
 
@@ -51,13 +54,15 @@
         this.registry.replaceAll({ entries, revision: storeRevision, afterOutage });
         this.routers.replaceAll(routers);
         this.leaderObserver.leaderKeyChanged(items.find(({ key }) => key === this.layout.placementLeaderKey)?.value);
+        this.quarantine.replaceAll(items);
     }
 
     applyChanges(changes: readonly ItemChange[]): void {
         changes.forEach(change => this.applyChange(change));
     }
 
-    private applyChange({ key, value, revision }: ItemChange): void {
+    private applyChange(change: ItemChange): void {
+        const { key, value, revision } = change;
         const id = this.serverId(key);
         if (id !== undefined) {
             this.applyServer(id, value, revision);
@@ -68,7 +73,7 @@
         else if (key === this.layout.placementLeaderKey) {
             this.leaderObserver.leaderKeyChanged(value);
         }
-        else {
+        else if (!this.quarantine.applyChange(change)) {
             this.applyRouter(this.routerName(key), value);
         }
     }
--- a/src/request/gateway/plain-forwarder.ts
+++ b/src/request/gateway/plain-forwarder.ts
@@ -23,10 +23,12 @@
     RouterDrainingError,
 } from "../../errors/index.js";
 import type { LocalServerLoad } from "../../process/gateway/local-server-load.js";
+import type { PromptQuarantine } from "../../process/gateway/prompt-quarantine/prompt-quarantine.js";
 import type { ServerExclusions } from "../../process/gateway/server-exclusions.js";
 import type { ShutdownGrace } from "../../process/gateway/shutdown-grace.js";
 import type { WindowedRetryBudget } from "../../process/gateway/windowed-retry-budget.js";
 import type { CallerResponse } from "./caller-response.js";
+import { refuseBlockedPrompt } from "./crash-guard.js";
 import { hasPassed } from "./deadline.js";
 import type { GatewayHeaders } from "./headers.js";
 import type { PlainServerChooser } from "./plain-server-chooser.js";
@@ -40,6 +42,7 @@
     readonly servers: PlainServerChooser;
     readonly load: LocalServerLoad;
     readonly exclusions: ServerExclusions;
+    readonly quarantine: PromptQuarantine;
     readonly retries: WindowedRetryBudget;
     readonly retryAdvice: RetryAdvice;
     readonly responseObserver: ResponseObserver;
@@ -98,7 +101,11 @@
                 }
                 return this.finishWithoutSuccess(request, serverError, executions, reason);
             }
-            const server = this.dependencies.servers.choose(request.service, tried);
+            if (executions === 0) {
+                refuseBlockedPrompt(this.dependencies.quarantine, request);
+            }
+            const blocked = this.dependencies.quarantine.findBlock(request.sharedPromptParts) !== undefined;
+            const server = blocked ? undefined : this.dependencies.servers.choose(request.service, tried);
             const isFirstAttempt = tried.size === 0;
             if (server === undefined || (!isFirstAttempt && !this.dependencies.retries.tryConsume(request.service))) {
                 return this.finishWithoutSuccess(request, serverError, executions, reason);
--- a/src/request/gateway/stream-attempt.ts
+++ b/src/request/gateway/stream-attempt.ts
@@ -40,8 +40,8 @@
     readonly head?: ResponseHead;
     /** Body of an error response, if `end` is `failure`. */
     readonly body?: Buffer;
-    /** Whether the runtime refused to send the request, which says nothing about the servers of the path. */
-    readonly unsendable?: boolean;
+    /** How the connection failed; undefined if it did not, or if the gateway ended it. */
+    readonly connectionFailure?: ConnectionFailure;
     /** Whether a valid response head of a stream has arrived. */
     readonly streamStarted: boolean;
     /** Complete events that this attempt has delivered. */
@@ -151,10 +151,10 @@
             this.finish({ end: AttemptEnd.failure, reason: `status ${this.head!.status}`, head: this.head!, body });
         }
         else if (this.splitter.hasIncompleteEvent) {
-            this.finish({ end: AttemptEnd.broken, reason: "response ended inside an event" });
+            this.finishBrokenOff("response ended inside an event");
         }
         else if (this.head!.framing === ResponseFraming.untilClose && this.deliveredEvents === 0) {
-            this.finish({ end: AttemptEnd.broken, reason: "connection ended before the first event" });
+            this.finishBrokenOff("connection ended before the first event");
         }
         else {
             this.observer.streamEnded(this.splitter.takeRest());
@@ -168,8 +168,16 @@
             this.finish({ end: AttemptEnd.cancelled, reason: endedByGateway });
             return;
         }
-        const unsendable = failure === ConnectionFailure.unsendable;
-        this.finish({ end: bytesWritten ? AttemptEnd.broken : AttemptEnd.notRun, reason, unsendable });
+        this.finish({
+            end: bytesWritten ? AttemptEnd.broken : AttemptEnd.notRun,
+            reason,
+            connectionFailure: failure,
+        });
+    }
+
+    /** Ends an attempt whose connection the server has closed in order, but too early. */
+    private finishBrokenOff(reason: string): void {
+        this.finish({ end: AttemptEnd.broken, reason, connectionFailure: ConnectionFailure.broken });
     }
 
     private finish(result: Omit<AttemptResult, "streamStarted" | "deliveredEvents">): void {
--- a/src/request/gateway/stream-request-handler.ts
+++ b/src/request/gateway/stream-request-handler.ts
@@ -11,6 +11,7 @@
 import { formatSocketAddress } from "../../domain/gateway/server-entry.js";
 import {
     CallerGoneError,
+    ConnectionFailure,
     DeadlineExceededError,
     ExchangeFailedError,
     NoServerAvailableError,
@@ -26,6 +27,7 @@
 import type { RunningAttempts, SupervisionDependencies } from "./attempt-supervisor.js";
 import type { CallerResponse } from "./caller-response.js";
 import { CompetingRuns, type EndedRun } from "./competing-runs.js";
+import { CrashGuard, type CrashGuardDependencies, refuseBlockedPrompt } from "./crash-guard.js";
 import { hasPassed } from "./deadline.js";
 import type { GatewayHeaders } from "./headers.js";
 import { addressedParts, formatPath, type LayerPath, type RequestSize } from "./layer-path-finder.js";
@@ -37,7 +39,7 @@
 import { StreamRun } from "./stream-run.js";
 import type { GatewayRequest } from "./types.js";
 
-export interface StreamRequestDependencies extends SupervisionDependencies {
+export interface StreamRequestDependencies extends SupervisionDependencies, CrashGuardDependencies {
     readonly dialect: Dialect;
     readonly headers: GatewayHeaders;
     readonly registry: ServerRegistry;
@@ -60,6 +62,7 @@
 export class StreamRequestHandler {
     private readonly avoidedServers = new Set<string>();
     private readonly progress: StreamProgress;
+    private readonly crashGuard: CrashGuard;
     private readonly runs = new CompetingRuns<StreamRun>();
     private startedRuns = 0;
     private unexecutedRuns = 0;
@@ -73,13 +76,14 @@
         private readonly response: CallerResponse,
     ) {
         this.progress = new StreamProgress(response);
+        this.crashGuard = new CrashGuard(dependencies, request);
     }
 
     /** Throws a PomelostallError if the stream could not be completed. */
     async run(): Promise<void> {
         this.dependencies.retries.recordRequest(this.request.service);
         try {
-            this.startRun(await this.choosePath());
+            await this.startNextRun();
             let finished: boolean;
             do {
                 finished = await this.handleEnd(await this.runs.nextEnd());
@@ -95,6 +99,7 @@
     private async handleEnd({ run, result }: EndedRun<StreamRun>): Promise<boolean> {
         this.log(run, result);
         this.recordFirstEventTime(run, result);
+        this.crashGuard.recordAttempt(run.path.parts[0]!.server, result);
         if (this.request.callerGone.aborted) {
             throw new CallerGoneError(this.outcome(result));
         }
@@ -108,6 +113,24 @@
         return this.runs.allEnded && await this.finishOrRetry(result);
     }
 
+    private async startNextRun(): Promise<void> {
+        await this.checkMaySend();
+        const path = await this.choosePath();
+        await this.checkMaySend();
+        this.startRun(path);
+    }
+
+    /** Throws if the request might crash another backend server. */
+    private async checkMaySend(): Promise<void> {
+        if (this.executions === 0) {
+            refuseBlockedPrompt(this.dependencies.quarantine, this.request);
+        }
+        const objection = await this.crashGuard.findObjection();
+        if (objection !== undefined) {
+            this.failRequest(objection);
+        }
+    }
+
     private async choosePath(): Promise<LayerPath> {
         const { request } = this;
         const chooseAvoiding = (avoided: ReadonlySet<string>) => this.choosePathAvoiding(avoided);
@@ -214,6 +237,7 @@
             && request.route.resumable
             && this.executions < request.route.maximumAttempts
             && this.refusals <= maximumRefusals
+            && dependencies.quarantine.findBlock(request.sharedPromptParts) === undefined
             && (this.response.started || dependencies.shutdown.allowsStart(request.deadline))
             && dependencies.retries.allows(request.service);
     }
@@ -270,9 +294,10 @@
         }
     }
 
-    private recordRefusal(serverId: string, { head, reason, unsendable }: AttemptResult): void {
+    private recordRefusal(serverId: string, { head, reason, connectionFailure }: AttemptResult): void {
         const { exclusions } = this.dependencies;
-        if (unsendable === true) {
+        // The runtime's refusal to send a request says nothing about the server.
+        if (connectionFailure === ConnectionFailure.unsendable) {
             return;
         }
         if (head?.status === serviceUnavailableStatus) {
@@ -302,7 +327,7 @@
         const exhausted = this.executions >= request.route.maximumAttempts || this.refusals > maximumRefusals;
         const retryable = this.executions === 0 || request.route.resumable;
         if (!exhausted && retryable && await this.reserveRetry(result)) {
-            this.startRun(await this.choosePath());
+            await this.startNextRun();
             return false;
         }
         if (result.end === AttemptEnd.failure && !this.response.started) {
--- a/test/platform/crashing-prompt-parts.test.ts
+++ b/test/platform/crashing-prompt-parts.test.ts
@@ -4,6 +4,7 @@
 import { promptParts, StandInBackendServer } from "./stand-ins/backend-server.js";
 
 const crashingPart = "bad1";
+const blockKey = `pomelostall/blocked-prompt-parts/${crashingPart}`;
 /** Part of all prompts, also of those with the crashing part. */
 const commonPart = "c0";
 const gatewayCount = 3;
@@ -147,3 +148,58 @@
     expect(responses.at(-1)).toMatchObject({ status: 503 });
     await expectSoundRequestsServedAtFirstAttempt(since);
 }, 30_000);
+
+test("a part that crashes only half of the servers is blocked as well", async () => {
+    await startFleet();
+    fixture.servers.filter((_server, index) => index % 2 === 0).forEach(server => {
+        server.crashingPromptPart = crashingPart;
+    });
+    const responses = await sendTraffic(16);
+    expect(crashes.length).toBeGreaterThanOrEqual(3);
+    const since = (crashes[4] ?? crashes.at(-1)!) + noticeMilliseconds;
+    expect(arrivalsOfCrashingPart(since).length).toBeLessThanOrEqual(3);
+    expect(responses.at(-1)).toMatchObject({ status: 503 });
+    await expectSoundRequestsServedAtFirstAttempt(since);
+}, 30_000);
+
+async function expectRefusedAtEveryGateway(): Promise<void> {
+    const arrivalsBefore = arrivalsOfCrashingPart(0).length;
+    for (let gateway = 0; gateway < gatewayCount; gateway++) {
+        const response = await send(gateway, `late-${gateway}`, [commonPart, crashingPart]);
+        expect(response).toMatchObject({ status: 503 });
+        expect(JSON.parse(response.body)).toMatchObject({ error: { code: "prompt-part-blocked", outcome: "not-run" } });
+        expect(Number(response.headers["retry-after"])).toBeGreaterThan(500);
+    }
+    expect(arrivalsOfCrashingPart(0).length).toBe(arrivalsBefore);
+}
+
+test("a block outlives a restart of all gateways, until its key is removed", async () => {
+    await startFleet();
+    fixture.servers.forEach(server => {
+        server.crashingPromptPart = crashingPart;
+    });
+    await sendTraffic(6);
+    await fixture.restartGateways();
+    await waitUntilReady();
+    await expectRefusedAtEveryGateway();
+    fixture.servers.forEach(server => {
+        server.crashingPromptPart = undefined;
+    });
+    fixture.store.delete(blockKey);
+    await fixture.waitUntil(async () => (await send(0, "lifted", [crashingPart])).status === 200);
+}, 30_000);
+
+test("crashes that no gateway saw alone, while the store was away, lead to a block once it is back", async () => {
+    await startFleet();
+    fixture.servers.forEach(server => {
+        server.crashingPromptPart = crashingPart;
+    });
+    fixture.store.down = true;
+    // Each gateway sees two crashes, fewer than a block needs.
+    await sendTraffic(gatewayCount);
+    expect(fixture.store.read(blockKey)).toBeUndefined();
+    fixture.store.down = false;
+    await fixture.waitUntil(() => fixture.store.read(blockKey) !== undefined);
+    await pause(noticeMilliseconds);
+    await expectRefusedAtEveryGateway();
+}, 30_000);
--- a/test/platform/gateway-fixture.ts
+++ b/test/platform/gateway-fixture.ts
@@ -5,7 +5,9 @@
 import { decodeServerEntry } from "../../platform/decode-server.js";
 import { platformDialect } from "../../platform/dialect.js";
 import {
+    blockedPartKeyPrefix,
     configurationKey,
+    crashEvidenceKeyPrefix,
     placementLeaderKey,
     rootPrefix,
     routerKeyPrefix,
@@ -318,6 +320,8 @@
             serverKeyPrefix,
             routerKeyPrefix,
             placementLeaderKey,
+            crashEvidenceKeyPrefix,
+            blockedPartKeyPrefix,
             decodeConfiguration,
             decodeServer: decodeServerEntry,
         },
--- a/test/process/gateway/fixtures.ts
+++ b/test/process/gateway/fixtures.ts
@@ -1,7 +1,11 @@
 /** Sample registry entries, engine profiles, routes and configurations for the gateway's tests. */
+import { SilentLogger } from "../../../src/common/logger.js";
+import { SilentMetrics } from "../../../src/common/metrics.js";
 import type { EngineProfile, GatewayConfiguration, GatewayRoute } from "../../../src/domain/gateway/configuration.js";
 import { RouteKind } from "../../../src/domain/gateway/configuration.js";
 import type { ServerEntry } from "../../../src/domain/gateway/server-entry.js";
+import { ExplainingAwayAttribution } from "../../../src/process/gateway/prompt-quarantine/crash-attribution.js";
+import { PromptQuarantine } from "../../../src/process/gateway/prompt-quarantine/prompt-quarantine.js";
 
 export function serverEntry(id: string, changes: Partial<ServerEntry> = {}): ServerEntry {
     return {
@@ -81,3 +85,18 @@
         ...changes,
     };
 }
+
+/** A quarantine whose records go nowhere. */
+export function createIdleQuarantine(): PromptQuarantine {
+    return new PromptQuarantine({
+        witness: "router-1",
+        evidencePrefix: "crashes/",
+        blockPrefix: "blocks/",
+        attribution: new ExplainingAwayAttribution(),
+        writeEvidence: () => undefined,
+        writeBlock: () => undefined,
+        configurationVersion: () => 1,
+        metrics: new SilentMetrics(),
+        logger: new SilentLogger(),
+    });
+}
--- a/test/process/gateway/store-dispatcher.test.ts
+++ b/test/process/gateway/store-dispatcher.test.ts
@@ -2,7 +2,9 @@
 import { decodeConfiguration } from "../../../platform/decode-configuration.js";
 import { decodeServerEntry } from "../../../platform/decode-server.js";
 import {
+    blockedPartKeyPrefix,
     configurationKey,
+    crashEvidenceKeyPrefix,
     placementLeaderKey,
     rootPrefix,
     routerKeyPrefix,
@@ -19,7 +21,7 @@
 import { StoreDispatcher } from "../../../src/process/gateway/store-dispatcher.js";
 import { StoreWatcher } from "../../../src/process/gateway/store-watcher.js";
 import { configuration as configurationBody } from "../../platform/gateway-fixture.js";
-import { gatewayConfiguration } from "./fixtures.js";
+import { createIdleQuarantine, gatewayConfiguration } from "./fixtures.js";
 
 const soundLayout: StoreLayout = {
     rootPrefix,
@@ -27,6 +29,8 @@
     serverKeyPrefix,
     routerKeyPrefix,
     placementLeaderKey,
+    crashEvidenceKeyPrefix,
+    blockedPartKeyPrefix,
     decodeConfiguration,
     decodeServer: decodeServerEntry,
 };
@@ -82,7 +86,15 @@
     };
     routers = new RouterDirectory(store as MetadataStore, "", "own", { host: "10.0.0.9", port: 1 }, logger);
     const leader = { leaderKeyChanged: () => undefined };
-    const dispatcher = new StoreDispatcher(layout, configuration, registry, routers, leader, logger);
+    const dispatcher = new StoreDispatcher(
+        layout,
+        configuration,
+        registry,
+        routers,
+        leader,
+        createIdleQuarantine(),
+        logger,
+    );
     const cache = new StoreCache(dispatcher);
     await new StoreWatcher(store as MetadataStore, "", cache, new SeededRandom(1), () => 0, logger).start();
     await jest.advanceTimersByTimeAsync(5_000);
--- a/test/request/gateway/unsendable-requests.test.ts
+++ b/test/request/gateway/unsendable-requests.test.ts
@@ -23,7 +23,7 @@
 import { AttemptEnd, type AttemptResult, StreamAttempt } from "../../../src/request/gateway/stream-attempt.js";
 import { StreamForwarder } from "../../../src/request/gateway/stream-forwarder.js";
 import type { GatewayRequest } from "../../../src/request/gateway/types.js";
-import { engineProfile, gatewayRoute, serverEntry } from "../../process/gateway/fixtures.js";
+import { createIdleQuarantine, engineProfile, gatewayRoute, serverEntry } from "../../process/gateway/fixtures.js";
 
 beforeEach(() => void jest.useRealTimers());
 
@@ -67,6 +67,7 @@
         retryAdvice: new SpreadRetryAdvice(random),
         responseObserver: { responseReceived: () => undefined },
         shutdown: new ShutdownGrace(),
+        quarantine: createIdleQuarantine(),
         metrics: new SilentMetrics(),
         logger: new SilentLogger(),
     };
