--- /dev/null
+++ b/test/process/gateway/prompt-quarantine/prompt-quarantine.test.ts
@@ -0,0 +1,183 @@
+import { afterEach, beforeEach, expect, jest, test } from "@jest/globals";
+import { SilentLogger } from "../../../../src/common/logger.js";
+import { SilentMetrics } from "../../../../src/common/metrics.js";
+import type { StoredItem } from "../../../../src/domain/gateway/metadata-store.js";
+import { ExplainingAwayAttribution } from "../../../../src/process/gateway/prompt-quarantine/crash-attribution.js";
+import type { LeasedRecord } from "../../../../src/process/gateway/prompt-quarantine/leased-record-writer.js";
+import { PromptQuarantine } from "../../../../src/process/gateway/prompt-quarantine/prompt-quarantine.js";
+import { serverEntry } from "../fixtures.js";
+
+const blockKey = "blocks/bad";
+let evidence: LeasedRecord[];
+let blocks: LeasedRecord[];
+let revision: number;
+let warnings: string[];
+
+class WarningLogger extends SilentLogger {
+    override warn(message = ""): void {
+        warnings.push(message);
+    }
+}
+
+beforeEach(() => {
+    jest.useFakeTimers();
+    evidence = [];
+    blocks = [];
+    revision = 0;
+    warnings = [];
+});
+afterEach(() => void jest.useRealTimers());
+
+const createQuarantine = (witness = "router-1") =>
+    new PromptQuarantine({
+        witness,
+        evidencePrefix: "crashes/",
+        blockPrefix: "blocks/",
+        attribution: new ExplainingAwayAttribution(),
+        writeEvidence: record => evidence.push(record),
+        writeBlock: record => blocks.push(record),
+        configurationVersion: () => 1,
+        metrics: new SilentMetrics(),
+        logger: new WarningLogger(),
+    });
+const stored = ({ key, value }: LeasedRecord): StoredItem => ({ key, value, revision: ++revision });
+const isBlocked = (quarantine: PromptQuarantine) => quarantine.findBlock(["common", "bad"]) !== undefined;
+let nextServer = 1;
+
+/** Lets servers crash one second apart. */
+function crash(quarantine: PromptQuarantine, count: number, parts: readonly string[] = ["c0", "bad"]): void {
+    for (let index = 0; index < count; index++) {
+        quarantine.recordSuspect(serverEntry(`server-${nextServer++}`), parts);
+        jest.advanceTimersByTime(1_000);
+    }
+}
+
+test("a witness blocks the part at its third crash, before the store answers", () => {
+    const quarantine = createQuarantine();
+    crash(quarantine, 2);
+    expect(isBlocked(quarantine)).toBe(false);
+    crash(quarantine, 1);
+    expect(quarantine.findBlock(["c1", "bad"])).toMatchObject({ part: "bad" });
+    expect(quarantine.findBlock(["c0"])).toBeUndefined();
+    expect(blocks.map(({ key }) => key)).toEqual([blockKey]);
+});
+
+test("a router that saw no attempt with the part break off leaves the decision to those that did", () => {
+    const witness = createQuarantine();
+    crash(witness, 3);
+    const other = createQuarantine("router-2");
+    other.replaceAll(evidence.slice(0, 1).map(stored));
+    jest.advanceTimersByTime(2_000);
+    evidence.slice(1).forEach(record => other.applyChange(stored(record)));
+    crash(other, 1, ["d0"]);
+    expect(isBlocked(other)).toBe(false);
+    crash(other, 1);
+    expect(isBlocked(other)).toBe(true);
+});
+
+test("a part that succeeds far more often than it is near crashes is not blocked", () => {
+    const quarantine = createQuarantine();
+    Array.from({ length: 40 }).forEach(() => quarantine.recordSuccess(["bad"]));
+    crash(quarantine, 5, ["bad"]);
+    expect(isBlocked(quarantine)).toBe(false);
+});
+
+test("successes of more than ten minutes ago do not clear a part", () => {
+    const quarantine = createQuarantine();
+    Array.from({ length: 40 }).forEach(() => quarantine.recordSuccess(["bad"]));
+    jest.advanceTimersByTime(600_000);
+    crash(quarantine, 3, ["bad"]);
+    expect(isBlocked(quarantine)).toBe(true);
+});
+
+test("crashes of more than ten minutes ago do not count", () => {
+    const quarantine = createQuarantine();
+    crash(quarantine, 2);
+    jest.advanceTimersByTime(600_000);
+    crash(quarantine, 1);
+    expect(isBlocked(quarantine)).toBe(false);
+});
+
+test("one crash is reported once for the same parts, however many attempts broke off", () => {
+    const quarantine = createQuarantine();
+    const server = serverEntry("server");
+    quarantine.recordSuspect(server, ["a1"]);
+    quarantine.recordSuspect(server, ["a1"]);
+    quarantine.recordSuspect(server, []);
+    expect(evidence).toHaveLength(1);
+    quarantine.recordSuspect(server, ["a1", "b1"]);
+    quarantine.recordSuspect({ ...server, bornAt: 2 }, ["a1"]);
+    expect(evidence).toHaveLength(3);
+});
+
+test("a block ends after ten minutes, and the part is tried again", () => {
+    const quarantine = createQuarantine();
+    quarantine.applyChange({ key: blockKey, revision: 1, value: Buffer.from("") });
+    jest.advanceTimersByTime(599_000);
+    expect(quarantine.findBlock(["bad"])?.remainingMilliseconds).toBeCloseTo(1_000, 0);
+    quarantine.replaceAll([{ key: blockKey, revision: 1, value: Buffer.from("") }]);
+    jest.advanceTimersByTime(1_000);
+    expect(isBlocked(quarantine)).toBe(false);
+});
+
+test("a lifted block stays lifted until the part crashes another server", () => {
+    const quarantine = createQuarantine();
+    Array.from({ length: 40 }).forEach(() => quarantine.recordSuccess(["c0"]));
+    crash(quarantine, 3);
+    quarantine.applyChange(stored(blocks[0]!));
+    quarantine.applyChange({ key: blockKey, revision: ++revision, value: undefined });
+    crash(quarantine, 1, ["c0", "d0"]);
+    expect(isBlocked(quarantine)).toBe(false);
+    crash(quarantine, 1);
+    expect(isBlocked(quarantine)).toBe(true);
+});
+
+test("a full read keeps a block whose key is not yet stored, and ends one whose key has left the store", () => {
+    const quarantine = createQuarantine();
+    crash(quarantine, 3);
+    quarantine.replaceAll([]);
+    expect(isBlocked(quarantine)).toBe(true);
+    quarantine.replaceAll(blocks.map(stored));
+    expect(isBlocked(quarantine)).toBe(true);
+    quarantine.replaceAll([]);
+    expect(isBlocked(quarantine)).toBe(false);
+});
+
+test("the latest counts of a witness apply after a full read, in whatever order the store lists its keys", () => {
+    const witness = createQuarantine("router-2");
+    crash(witness, 3, ["c0"]);
+    Array.from({ length: 40 }).forEach(() => witness.recordSuccess(["c0"]));
+    crash(witness, 1, ["c0"]);
+    const quarantine = createQuarantine();
+    quarantine.replaceAll(evidence.map(stored).reverse());
+    jest.advanceTimersByTime(2_000);
+    crash(quarantine, 1, ["c0"]);
+    expect(quarantine.findBlock(["c0"])).toBeUndefined();
+});
+
+test.each([
+    "",
+    "{",
+    "null",
+    "[]",
+    '{"parts":1}',
+    JSON.stringify({ serverStart: "s@1", witness: "w", parts: [{ id: "x y", successes: 0 }] }),
+])(
+    "the malformed evidence %j is ignored and logged",
+    value => {
+        const quarantine = createQuarantine();
+        expect(quarantine.applyChange({ key: "crashes/1", revision: 1, value: Buffer.from(value) })).toBe(true);
+        expect(warnings).toEqual(["crash evidence cannot be decoded; ignored"]);
+    },
+);
+
+test.each(["", "x y", "g", "a".repeat(65)])("the key %j names no part, is ignored and logged", name => {
+    const quarantine = createQuarantine();
+    expect(quarantine.applyChange({ key: `blocks/${name}`, revision: 1, value: Buffer.from("1") })).toBe(true);
+    expect(quarantine.findBlock([name])).toBeUndefined();
+    expect(warnings).toEqual(["key of a blocked prompt part cannot be decoded; ignored"]);
+});
+
+test("keys of others are left to others", () => {
+    expect(createQuarantine().applyChange({ key: "routers/edge-1", revision: 1, value: undefined })).toBe(false);
+});
