--- a/src/request/gateway/stream-request-handler.ts
+++ b/src/request/gateway/stream-request-handler.ts
@@ -30,12 +30,14 @@
 import { CrashGuard, type CrashGuardDependencies, refuseBlockedPrompt } from "./crash-guard.js";
 import { hasPassed } from "./deadline.js";
 import type { GatewayHeaders } from "./headers.js";
-import { addressedParts, formatPath, type LayerPath, type RequestSize } from "./layer-path-finder.js";
+import { addressedParts, type LayerPath } from "./layer-path-finder.js";
 import { pollUntilDefined, shortWaitEnd } from "./poll-until-defined.js";
+import { requestSize } from "./request-size.js";
 import type { RetryAdvice } from "./retry-advice.js";
 import { callerPatienceMilliseconds, computeStallLimits } from "./stall-limits.js";
 import { AttemptEnd, type AttemptResult } from "./stream-attempt.js";
 import { StreamProgress } from "./stream-progress.js";
+import { logEndedRun } from "./stream-run-log.js";
 import { StreamRun } from "./stream-run.js";
 import type { GatewayRequest } from "./types.js";
 
@@ -309,9 +311,10 @@
     }
 
     /** Returns the ID of the server that a refusal names as the cause, if it names a registered one. */
-    private serverAtFault(result: AttemptResult): string | undefined {
+    private serverAtFault({ head }: AttemptResult): string | undefined {
         const { dialect, registry } = this.dependencies;
-        const address = dialect.parseAddress(headerText(result, dialect.headers.serverAtFault));
+        const value = head?.headers[dialect.headers.serverAtFault];
+        const address = typeof value === "string" ? dialect.parseAddress(value) : undefined;
         return address === undefined ? undefined : registry.findByAddress(formatSocketAddress(address))?.entry.id;
     }
 
@@ -385,40 +388,10 @@
     }
 
     private log({ path, startedAt }: StreamRun, result: AttemptResult): void {
-        this.dependencies.metrics.increment("pomelostall.gateway.stream_attempts", 1, { outcome: result.end });
-        this.dependencies.logger.decision({
-            kind: "stream-attempt",
-            chosen: formatPath(path),
-            over: [],
-            reason: result.reason,
-            configurationVersion: this.request.configurationVersion,
-            requestId: this.request.id,
-            fields: {
-                outcome: result.end,
-                atFault: this.serverAtFault(result),
-                cost: Math.round(path.cost),
-                registryGeneration: this.dependencies.registry.generation,
-                streamStarted: result.streamStarted,
-                deliveredEvents: result.deliveredEvents,
-                sharedPromptParts: this.request.sharedPromptParts.join(","),
-                lastEventId: this.progress.lastEventId,
-                firstEventMilliseconds: this.progress.firstEventAt === undefined
-                    ? undefined
-                    : Math.round(this.progress.firstEventAt - this.request.receivedAt),
-                longestPauseMilliseconds: Math.round(this.progress.longestPauseMilliseconds),
-                startedAfterMilliseconds: Math.round(startedAt - this.request.receivedAt),
-                milliseconds: Math.round(monotonicNow() - this.request.receivedAt),
-            },
-        });
+        const { request, progress, dependencies } = this;
+        const { registry, metrics, logger } = dependencies;
+        const atFault = this.serverAtFault(result);
+        const registryGeneration = registry.generation;
+        logEndedRun({ request, path, result, startedAt, atFault, registryGeneration, progress }, metrics, logger);
     }
 }
-
-function headerText(result: AttemptResult, name: string): string | undefined {
-    const value = result.head?.headers[name];
-    return typeof value === "string" ? value : undefined;
-}
-
-function requestSize(request: GatewayRequest, engine: EngineProfile): RequestSize {
-    const outputTokens = Math.min(engine.typicalOutputTokens, request.tokens?.maximumOutput ?? Infinity);
-    return { promptTokens: request.tokens?.prompt ?? engine.typicalPromptTokens, outputTokens: outputTokens };
-}
--- a/test/request/gateway/crash-guard.test.ts
+++ b/test/request/gateway/crash-guard.test.ts
@@ -53,7 +53,7 @@
 test.each<[string, Partial<AttemptResult>]>([
     ["got its second event", { deliveredEvents: 2 }],
     ["had no response head", { streamStarted: false }],
-    ["the gateway ended", { connectionFailure: undefined, end: AttemptEnd.stalled }],
+    ["the gateway ended", { connectionFailure: undefined, end: AttemptEnd.superseded }],
     ["got no response in time", { connectionFailure: ConnectionFailure.silent }],
     ["was refused", { connectionFailure: ConnectionFailure.refused }],
 ])("an attempt that %s is no suspect", async (_case, changes) => {
--- a/test/request/gateway/unsendable-requests.test.ts
+++ b/test/request/gateway/unsendable-requests.test.ts
@@ -6,7 +6,7 @@
 import { SeededRandom } from "../../../src/common/random.js";
 import type { ServerControl } from "../../../src/domain/gateway/server-control.js";
 import type { ServerEntry } from "../../../src/domain/gateway/server-entry.js";
-import { NoServerAvailableError } from "../../../src/errors/index.js";
+import { ConnectionFailure, NoServerAvailableError } from "../../../src/errors/index.js";
 import { FirstEventLatency } from "../../../src/process/gateway/first-event-latency.js";
 import { LocalServerLoad } from "../../../src/process/gateway/local-server-load.js";
 import { ServerExclusions } from "../../../src/process/gateway/server-exclusions.js";
@@ -121,7 +121,10 @@
             { deadline, callerGone },
         );
         const result: AttemptResult = await attempt.result;
-        expect(result).toMatchObject({ end: AttemptEnd.notRun, unsendable: true });
+        expect(result).toMatchObject({
+            end: AttemptEnd.notRun,
+            connectionFailure: ConnectionFailure.unsendable,
+        });
         expect(result.reason).toContain("Invalid character in header content");
     });
 });
