Supervise a stream that has been moved, and act on a check only if its run is still silent

A move now keeps the pause's stall and drops the timer; a check is void once an event has arrived; a move that was refused is not ordered again for the same servers until the run pauses.

--- a/src/request/gateway/attempt-supervisor.ts
+++ b/src/request/gateway/attempt-supervisor.ts
@@ -86,6 +86,10 @@
     /** Servers that are reported not to compute their layers any longer; some still finish the requests that they run. */
     private reported: readonly ServerEntry[] = [];
     private quiet = false;
+    /** Whether the present pause has reached the stall timeout. */
+    private stalled = false;
+    /** Reported servers that the attempt could not be moved off, in which case it is not ordered again with each notice. */
+    private immovable: readonly ServerEntry[] = [];
     private retryTimer: ReturnType<typeof setTimeout> | undefined;
     private recovering = false;
     private stopped = false;
@@ -138,8 +142,7 @@
      */
     async recoverFromUnreachable(servers: readonly ServerEntry[], checkStartedAt: number): Promise<void> {
         const lost = servers.filter(server => this.currentPath.parts.some(part => part.server.id === server.id));
-        const hasProgressed = (this.supervised.progress.lastEventAt ?? -Infinity) > checkStartedAt;
-        if (!hasProgressed) {
+        if (!this.hasProgressedSince(checkStartedAt)) {
             await this.recover(lost, "does not accept connections", true);
         }
     }
@@ -154,7 +157,13 @@
     }
 
     private async recoverFromReported(): Promise<void> {
-        await this.recover(this.reported, "no longer computes its layers", this.quiet);
+        if (this.quiet || !haveSameIds(this.reported, this.immovable)) {
+            await this.recover(this.reported, "no longer computes its layers", this.quiet);
+        }
+    }
+
+    private hasProgressedSince(time: number): boolean {
+        return (this.supervised.progress.lastEventAt ?? -Infinity) > time;
     }
 
     private handleQuiet(): void {
@@ -167,7 +176,7 @@
         const checkStartedAt = monotonicNow();
         const servers = this.currentPath.parts.map(({ server }) => server);
         const unreachable = await this.dependencies.reachability.findUnreachable(servers);
-        if (unreachable.length === 0) {
+        if (unreachable.length === 0 || this.hasProgressedSince(checkStartedAt)) {
             return;
         }
         unreachable.forEach(({ id }) => this.dependencies.exclusions.recordFailure(id, "does not accept connections"));
@@ -175,6 +184,7 @@
     }
 
     private handleStall(): void {
+        this.stalled = true;
         if (!this.isLost) {
             this.startRival(this.chooseRivalPath());
         }
@@ -213,11 +223,10 @@
         const outcome = action === RecoveryAction.move ? await this.move(path, replacement!) : action;
         const moved = outcome === OrderOutcome.begun || outcome === OrderOutcome.alreadyHeld;
         if (moved) {
-            this.currentPath = replacement!;
-            this.lost = [];
-            this.reported = [];
+            this.completeMove(replacement!);
         }
         else if (action === RecoveryAction.move) {
+            this.immovable = lost;
             this.startRivalIfLost(this.chooseRivalPath());
         }
         dependencies.metrics.increment("pomelostall.gateway.lost_parts", 1, { replaced: String(moved) });
@@ -229,6 +238,17 @@
         );
     }
 
+    private completeMove(path: LayerPath): void {
+        this.currentPath = path;
+        this.lost = [];
+        this.reported = [];
+        clearTimeout(this.retryTimer);
+        if (this.stalled) {
+            // The stall is reported once in a pause, and was not acted on while the attempt was being moved.
+            this.handleStall();
+        }
+    }
+
     /** Orders the path change. Returns the outcome of the order, or the text of the error if it got no response. */
     private async move(path: LayerPath, replacement: LayerPath): Promise<string> {
         try {
@@ -273,6 +293,7 @@
 
     private clearSuspicion(): void {
         this.quiet = false;
+        this.stalled = false;
         this.lost = [];
         clearTimeout(this.retryTimer);
     }
@@ -290,3 +311,7 @@
         });
     }
 }
+
+function haveSameIds(left: readonly ServerEntry[], right: readonly ServerEntry[]): boolean {
+    return left.length === right.length && left.every(({ id }) => right.some(other => other.id === id));
+}
