--- a/src/connection/gateway/reachability.ts
+++ b/src/connection/gateway/reachability.ts
@@ -3,10 +3,10 @@
  * connection within one round trip under any load; a crashed server refuses it, and a server that is cut off from the
  * network does not respond.
  *
- * Silence alone does not tell a lost server from a router that cannot hear: a new configuration or a burst of traffic
- * fills this router's own link, and every server on it falls silent together. A silent server therefore counts as
- * unreachable only if another server accepts a connection that was opened later, since its reply would have queued
- * behind the missing one.
+ * Silence alone does not tell a lost server from a router that hears late, because its own link or event loop is busy with
+ * a new configuration or a burst of traffic: all servers then fall silent together. A silent server therefore counts as
+ * unreachable only if another server accepts a connection that was opened later, since its reply would have queued behind
+ * the missing one.
  */
 import { delay, monotonicNow } from "../../common/clock.js";
 import { afterPendingInput } from "../../common/event-loop.js";
