--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -49,6 +49,8 @@
 let routers = [];
 const results = [];
 const lines = [];
+/** Output of the routers, if the case could not run. */
+const logs = [];
 let code = 2;
 try {
     const storePort = await store.start();
@@ -133,7 +135,8 @@
     code = lost.some(({ length }) => length > allowedLosses) ? 1 : 0;
 }
 catch (error) {
-    lines.push(`could not run: ${error.stack}`, ...routers.map(router => router.output.slice(-4_000)));
+    lines.push(`could not run: ${error.stack}`);
+    logs.push(...routers.map(router => router.output.slice(-4_000)));
 }
 finally {
     clients.forEach(client => client.stop());
@@ -145,7 +148,7 @@
         [id, router, path, status ?? "-", complete ? "whole" : "cut", error ?? "", sentAt, endedAt].join(" ")
     );
     const arrivals = [...engines, ...services].flatMap(({ id, runs }) => runs.map(run => `${run.at} ${id} ran ${run.id}`));
-    writeFileSync("record.txt", [...lines, "", "requests:", ...log, "", "runs:", ...arrivals, ""].join("\n"));
+    writeFileSync("record.txt", [...lines, "", "requests:", ...log, "", "runs:", ...arrivals, "", ...logs].join("\n"));
     console.log(lines.join("\n"));
     process.exit(code);
 }
