--- a/review/support/deployment.mjs
+++ b/review/support/deployment.mjs
@@ -2,10 +2,10 @@
 // is started again after a short delay.
 import { spawn } from "node:child_process";
 import { existsSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
-import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
+import { freePort } from "./ports.mjs";
 import { delay, layerCount } from "./replicas.mjs";
 
 const repository = fileURLToPath(new URL("../..", import.meta.url));
@@ -26,24 +26,6 @@
 
 export class CannotRunError extends Error {}
 
-const givenPorts = new Set();
-
-/** A free port below those that the system gives to outgoing connections, so that it stays free until it is used. */
-export async function freePort() {
-    for (;;) {
-        const port = 20_000 + Math.floor(Math.random() * 12_000);
-        const server = createServer();
-        const free = !givenPorts.has(port) && await new Promise(resolve => {
-            server.once("error", () => resolve(false));
-            server.listen(port, "127.0.0.1", () => server.close(() => resolve(true)));
-        });
-        if (free) {
-            givenPorts.add(port);
-            return port;
-        }
-    }
-}
-
 export class Router {
     /** Exits that the test did not cause, with the time, code and signal. */
     exits = [];
--- a/review/support/replicas.mjs
+++ b/review/support/replicas.mjs
@@ -1,6 +1,7 @@
 // Stand-ins of replicas: model engines that stream events, and plain services. They register in the store, check the
 // replica that a request names, echo its ID, and seal their answers.
 import { createServer } from "node:http";
+import { freePort } from "./ports.mjs";
 
 export const heartbeatMilliseconds = 1_200;
 export const layerCount = 20;
@@ -12,16 +13,29 @@
     #heartbeat;
     #lease;
     #sequence = 0;
+    #sockets = new Set();
 
     constructor(id, service, zone, store) {
         Object.assign(this, { id, service, zone, store });
-        this.server = createServer((request, response) => void this.handle(request, response));
-        this.server.keepAliveTimeout = 5_000;
     }
 
     async start() {
-        await new Promise(resolve => this.server.listen(0, "127.0.0.1", resolve));
-        this.address = `127.0.0.1:${this.server.address().port}`;
+        this.port = await freePort();
+        this.address = `127.0.0.1:${this.port}`;
+        await this.listen();
+    }
+
+    async listen() {
+        this.server = createServer((request, response) => void this.handle(request, response));
+        this.server.keepAliveTimeout = 5_000;
+        this.server.on("connection", socket => {
+            this.#sockets.add(socket);
+            socket.on("close", () => this.#sockets.delete(socket));
+        });
+        await new Promise((resolve, reject) => {
+            this.server.on("error", reject);
+            this.server.listen(this.port, "127.0.0.1", resolve);
+        });
         this.#lease = this.store.grant(3 * heartbeatMilliseconds);
         this.register();
         // A heartbeat changes the entry only if more than its counter has changed.
@@ -43,6 +57,13 @@
         }, this.#lease);
     }
 
+    /** Resets all connections and refuses new ones; the entry in the store lapses. */
+    crash() {
+        clearInterval(this.#heartbeat);
+        this.server.close();
+        this.#sockets.forEach(socket => socket.resetAndDestroy());
+    }
+
     /** Stops the heartbeat and removes the entry; the replica goes on serving. */
     leaveRegistry() {
         clearInterval(this.#heartbeat);
@@ -51,8 +72,8 @@
 
     stop() {
         clearInterval(this.#heartbeat);
-        this.server.closeAllConnections();
         this.server.close();
+        this.#sockets.forEach(socket => socket.destroy());
     }
 
     async handle(request, response) {
