Review case 4: a few answers without end in small chunks exceed a router's memory

Promise (LOST): a machine passes no more than three requests from kept connections on to sound replicas without answering them; a process that exceeds memory_mb is killed, and that excuses nothing.

Order of events: one of three replicas of a plain service sends 4 in 10 of its answers without end for 5 s, in chunks of one byte. The router keeps a Buffer object for each chunk, up to 16 MB of body bytes. Four such answers take it from 66 MB to over 272 MB in less than 2 s; it is killed, and all that it has accepted from its callers is cut.

--- a/review/support/deployment.mjs
+++ b/review/support/deployment.mjs
@@ -24,6 +24,9 @@
     stall_ms: 3_000,
 };
 
+/** Machines of the small sites. */
+export const limits = { max_fds: 2_118, memory_mb: 272 };
+
 export class CannotRunError extends Error {}
 
 export class Router {
@@ -54,7 +57,7 @@
             },
             seeds: contacts,
             platform: { address: `127.0.0.1:${storePort}`, ttl_min_ms: 1_000 },
-            limits: { max_fds: 2_118, memory_mb: 272 },
+            limits,
             bounds,
         };
         const template = readFileSync(join(repository, "deploy/router-settings.jsonc"), "utf8");
--- a/review/support/replicas.mjs
+++ b/review/support/replicas.mjs
@@ -127,6 +127,8 @@
 export class EngineReplica extends Replica {
     layers;
     orders = 0;
+    /** Time before the first event, beside the usual gap. */
+    prefillMilliseconds = 0;
 
     constructor(id, service, zone, store, { events = 40, gapMilliseconds = 25 } = {}) {
         super(id, service, zone, store);
@@ -201,6 +203,7 @@
 
     async stream(request, response) {
         const first = Number(request.headers["last-event-id"] ?? -1) + 1;
+        await delay(this.prefillMilliseconds);
         for (let id = first; id < this.events && !response.destroyed; id++) {
             await delay(this.gapMilliseconds);
             if (id === first) {
