--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,4 +1,7 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: no wrong bytes.
 cd "$(dirname "$0")" || exit 2
-exec timeout -k 5 110 node run.mjs
+timeout -k 5 110 node run.mjs
+code=$?
+[ "$code" -gt 1 ] && code=2
+exit "$code"
--- a/review/support/deployment.mjs
+++ b/review/support/deployment.mjs
@@ -27,6 +27,13 @@
 /** Machines of the small sites. */
 export const limits = { max_fds: 2_118, memory_mb: 272 };
 
+/** Processes that this test has started and that have not ended. */
+const running = new Set();
+process.once("SIGTERM", () => {
+    running.forEach(child => child.kill("SIGKILL"));
+    process.exit(2);
+});
+
 export class CannotRunError extends Error {}
 
 export class Router {
@@ -89,13 +96,15 @@
             env: { PATH, HOME, POMELOSTALL_SETTINGS: this.settingsFile },
             stdio: ["ignore", "pipe", "pipe"],
         });
-        this.startedAt = Date.now();
+        const { process: child } = this;
+        running.add(child);
         const collect = chunk => {
             this.output = (this.output + chunk).slice(-2_000_000);
         };
         this.process.stdout.on("data", collect);
         this.process.stderr.on("data", collect);
-        this.process.on("exit", (code, signal) => {
+        child.on("exit", (code, signal) => {
+            running.delete(child);
             if (this.#stopped) {
                 return;
             }
