--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -1,12 +1,8 @@
 // LOST: half of the engines spoil one byte in the head of a few of their streams. Bookings run meanwhile at sound
 // replicas, on kept connections.
-import { writeFileSync } from "node:fs";
-import { Client } from "../support/client.mjs";
-import { CannotRunError, configuration, startRouters, waitUntil } from "../support/deployment.mjs";
+import { book, grade, runCase, trouble } from "../support/case.mjs";
 import { delay, EngineReplica, PlainReplica } from "../support/replicas.mjs";
-import { Store } from "../support/store.mjs";
 
-const trouble = process.env.TROUBLE !== "0";
 /** Doses of `garble` in the kinds of the site: half of the replicas spoil 2 in 100 of their answers, for 5 s. */
 const spoiledShare = 0.02;
 const spoilMilliseconds = 5_000;
@@ -42,54 +38,19 @@
     }
 }
 
-const store = new Store();
-const engines = [];
-const services = [];
-const clients = [];
-let routers = [];
-const results = [];
-const lines = [];
-/** Output of the routers, if the case could not run. */
-const logs = [];
-let code = 2;
-try {
-    const storePort = await store.start();
-    for (const zone of [1, 2]) {
-        engines.push(new SpoilingEngine(`engine-${zone}-a`, "pool", `zone-${zone}`, store));
-        engines.push(new SpoilingEngine(`engine-${zone}-b`, "pool", `zone-${zone}`, store));
-    }
-    for (const number of [1, 2, 3]) {
-        services.push(new PlainReplica(`app-${number}`, "app", `zone-${number % 2 + 1}`, store, 150));
-    }
-    for (const replica of [...engines, ...services]) {
-        await replica.start();
-    }
-    store.put("op/config", configuration(7));
-    routers = await startRouters(2, storePort);
-    for (const router of routers) {
-        await waitUntil(() => router.isReady(), `readiness of ${router.name}`);
+await runCase(async test => {
+    const { store, lines, results } = test;
+    const engines = [1, 2].flatMap(zone =>
+        ["a", "b"].map(name => new SpoilingEngine(`engine-${zone}-${name}`, "pool", `zone-${zone}`, store))
+    );
+    const services = [1, 2, 3].map(number =>
+        new PlainReplica(`app-${number}`, "app", `zone-${number % 2 + 1}`, store, 150)
+    );
+    await test.start([...engines, ...services], 2);
+    for (const router of test.routers) {
+        test.sendInLoops(bookingClients, router, book);
+        test.sendInLoops(streamClients, router, (client, target) => grade(client, target));
     }
-    let running = true;
-    const loop = async (router, send) => {
-        const client = new Client();
-        clients.push(client);
-        while (running) {
-            const result = await send(client, router);
-            results.push(result);
-            await delay(result.status === 200 ? 5 : 100);
-        }
-    };
-    const book = (client, router) => client.send(router, "POST", "/book/docket", { body: "docket" });
-    const grade = (client, router) =>
-        client.send(router, "POST", "/grade/load", {
-            body: "prompt",
-            deadlineMilliseconds: 20_000,
-            headers: { "X-Model": "m", "X-Token-Counts": "800,80", "X-Prompt-Prefix": "a1:40,b2:760" },
-        });
-    const loops = routers.flatMap(router => [
-        ...Array.from({ length: bookingClients }, () => loop(router, book)),
-        ...Array.from({ length: streamClients }, () => loop(router, grade)),
-    ]);
     await delay(4_000);
     if (trouble) {
         // Routers keep an engine free as a standby, which answers few requests.
@@ -103,52 +64,34 @@
         engine.faulty = false;
     });
     await delay(4_000);
-    running = false;
-    await Promise.all(loops);
+    await test.endTraffic();
 
-    const ran = new Set(services.flatMap(service => service.runs.map(({ id }) => id)));
+    const { runs } = test;
+    const soundIds = new Set(services.map(({ id }) => id));
+    const lost = results.filter(({ id, reused, status, error }) =>
+        reused && soundIds.has(runs.get(id)) && status === undefined && error !== "client's time limit"
+    );
     const bookings = results.filter(({ path }) => path.startsWith("/book/"));
-    const streams = results.filter(({ path }) => path.startsWith("/grade/"));
-    const isLost = ({ id, reused, status, error }) =>
-        reused && ran.has(id) && status === undefined && error !== "client's time limit";
-    const spoiled = engines.reduce((sum, { spoiled: count }) => sum + count, 0);
-    lines.push(`bookings: ${bookings.length} sent, ${bookings.filter(({ status }) => status === 200).length} served`);
-    lines.push(`streams: ${streams.length} sent, ${streams.filter(({ status, complete }) => status === 200 && complete)
-        .length} served whole, ${spoiled} heads spoiled`);
-    const lost = routers.map(router => bookings.filter(result => result.router === router.name && isLost(result)));
-    routers.forEach((router, index) => {
-        lines.push(`${router.name}: ended by itself ${router.exits.length} times; ${lost[index].length} bookings from `
-            + "kept connections ran at a sound replica and their connection was closed without an answer");
-        router.exits.forEach(exit => lines.push(`  ${JSON.stringify(exit)}`));
-        const trace = /(?:TypeError|Error)[^\n]*\[ERR_[\s\S]{0,600}/.exec(router.output)?.[0];
-        if (trace !== undefined) {
-            lines.push(...trace.split("\n").slice(0, 8).map(line => `  ${line}`));
-        }
-        lost[index].forEach(({ id, sentAt, endedAt, error }) =>
-            lines.push(`  lost: ${id} sent ${sentAt} ended ${endedAt} ${error}`)
+    const spoiled = engines.reduce((sum, engine) => sum + engine.spoiled, 0);
+    lines.push(
+        `${bookings.length} bookings and ${
+            results.length - bookings.length
+        } streams sent, ${test.served.length} served `
+            + `whole, ${spoiled} heads spoiled`,
+    );
+    for (const router of test.routers) {
+        const own = lost.filter(result => result.router === router.name);
+        lines.push(
+            `${router.name}: ended by itself ${router.exits.length} times; ${own.length} bookings from kept connections ran `
+                + "at a sound replica and their connection was closed without an answer",
+        );
+        const trace = /TypeError[^\n]*\[ERR_[\s\S]{0,600}/.exec(router.output)?.[0] ?? "";
+        test.events.push(
+            ...router.exits.map(exit => `${router.name} ended: ${JSON.stringify(exit)}`),
+            ...trace.split("\n").slice(0, 8),
+            ...own.map(({ id, sentAt, endedAt, error }) => `lost: ${id} sent ${sentAt} ended ${endedAt} ${error}`),
         );
-    });
-    const served = bookings.filter(({ status }) => status === 200).length;
-    if (served < 100 || streams.length < 100) {
-        throw new CannotRunError("too little traffic was served");
     }
-    code = lost.some(({ length }) => length > allowedLosses) ? 1 : 0;
-}
-catch (error) {
-    lines.push(`could not run: ${error.stack}`);
-    logs.push(...routers.map(router => router.output.slice(-4_000)));
-}
-finally {
-    clients.forEach(client => client.stop());
-    await Promise.all(routers.map(router => router.stop()));
-    [...engines, ...services].forEach(replica => replica.stop());
-    store.stop();
-    lines.push(`exit ${code}`);
-    const log = results.map(({ id, router, path, status, complete, error, sentAt, endedAt }) =>
-        [id, router, path, status ?? "-", complete ? "whole" : "cut", error ?? "", sentAt, endedAt].join(" ")
-    );
-    const arrivals = [...engines, ...services].flatMap(({ id, runs }) => runs.map(run => `${run.at} ${id} ran ${run.id}`));
-    writeFileSync("record.txt", [...lines, "", "requests:", ...log, "", "runs:", ...arrivals, "", ...logs].join("\n"));
-    console.log(lines.join("\n"));
-    process.exit(code);
-}
+    test.expectServed(300);
+    return test.routers.some(({ name }) => lost.filter(({ router }) => router === name).length > allowedLosses);
+});
--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -1,12 +1,9 @@
 // BUDGET: one part of a prompt crashes each replica that begins to write an answer on it, before the first byte is sent.
 // CRASH=head: the replica has sent the head of its answer before. CRASH=events: it has sent the head and three events.
-import { writeFileSync } from "node:fs";
-import { Client } from "../support/client.mjs";
-import { bounds, CannotRunError, configuration, startRouters, waitUntil } from "../support/deployment.mjs";
+import { grade, runCase, trouble } from "../support/case.mjs";
+import { bounds, CannotRunError } from "../support/deployment.mjs";
 import { delay, EngineReplica, PlainReplica } from "../support/replicas.mjs";
-import { Store } from "../support/store.mjs";
 
-const trouble = process.env.TROUBLE !== "0";
 const sendsHead = process.env.CRASH === "head" || process.env.CRASH === "events";
 const eventsBeforeCrash = process.env.CRASH === "events" ? 3 : 0;
 const defectivePart = "bad0";
@@ -19,7 +16,6 @@
 /** What the rule allows later than `contact_ms` after the fifth crash. */
 const allowedArrivals = 3;
 
-const store = new Store();
 /** Requests with the defective part that reached a replica, in order. */
 const arrivals = [];
 const crashes = [];
@@ -42,6 +38,13 @@
             await super.stream(request, response);
             return;
         }
+        await this.writeBeforeCrash(request, response);
+        crashes.push({ at: Date.now(), replica: this.id });
+        this.crash();
+        setTimeout(() => void this.restart(), awayMilliseconds);
+    }
+
+    async writeBeforeCrash(request, response) {
         if (sendsHead) {
             this.writeHead(request, response);
             response.flushHeaders();
@@ -52,9 +55,6 @@
             response.write(`id: ${id}\ndata: token ${id}\n\n`);
             await delay(this.gapMilliseconds);
         }
-        crashes.push({ at: Date.now(), replica: this.id });
-        this.crash();
-        setTimeout(() => void this.restart(), awayMilliseconds);
     }
 
     async restart() {
@@ -66,102 +66,49 @@
     }
 }
 
-const engines = [];
-const replicas = [];
-const clients = [];
-let routers = [];
-const results = [];
-const lines = [];
-/** Output of the routers, if the case could not run. */
-const logs = [];
-let code = 2;
-try {
-    const storePort = await store.start();
-    for (let number = 1; number <= engineCount; number++) {
-        engines.push(new CrashingEngine(`engine-${number}`, "pool", `zone-${number % 2 + 1}`, store));
-    }
-    replicas.push(...engines, new PlainReplica("app-1", "app", "zone-1", store, 20));
-    for (const replica of replicas) {
-        await replica.start();
-    }
-    store.put("op/config", configuration(7));
-    routers = await startRouters(2, storePort);
-    for (const router of routers) {
-        await waitUntil(() => router.isReady(), `readiness of ${router.name}`);
-    }
+await runCase(async test => {
+    const { store, lines } = test;
+    const engines = Array.from(
+        { length: engineCount },
+        (_, index) => new CrashingEngine(`engine-${index + 1}`, "pool", `zone-${index % 2 + 1}`, store),
+    );
+    await test.start([...engines, new PlainReplica("app-1", "app", "zone-1", store, 20)], 2);
     await delay(1_000);
-    let running = true;
     let requests = 0;
-    const send = async (client, router, part) => {
+    const send = (client, router, part) => {
         const number = ++requests;
-        const result = await client.send(router, "POST", "/grade/load", {
-            body: `prompt ${number}`,
-            deadlineMilliseconds: 20_000,
-            headers: {
-                "X-Model": "m",
-                "X-Token-Counts": "800,80",
-                "X-Prompt-Prefix": `a${number % 4}:40,${part}:60,f${number.toString(16)}:700`,
-            },
-        });
-        results.push({ ...result, part });
-        return result;
+        return grade(client, router, [`a${number % 4}`, part, `f${number.toString(16)}`]);
     };
-    const loops = routers.flatMap(router =>
-        Array.from({ length: soundClients }, async () => {
-            const client = new Client();
-            clients.push(client);
-            while (running) {
-                const { status } = await send(client, router, `c${requests % 3}`);
-                await delay(status === 200 ? 20 : 300);
-            }
-        })
-    );
+    for (const router of test.routers) {
+        test.sendInLoops(soundClients, router, (client, target) => send(client, target, `c${requests % 3}`), 20);
+    }
     const defective = [];
     const end = Date.now() + playedMilliseconds;
     for (let turn = 0; Date.now() < end; turn++) {
-        const client = new Client();
-        clients.push(client);
-        defective.push(send(client, routers[turn % 2], defectivePart));
+        defective.push(send(test.newClient(), test.routers[turn % 2], defectivePart));
         await delay(defectiveIntervalMilliseconds);
     }
-    running = false;
-    await Promise.all([...loops, ...defective]);
-
-    const sound = results.filter(({ part }) => part !== defectivePart);
-    const served = sound.filter(({ status, complete }) => status === 200 && complete).length;
-    lines.push(`sound streams: ${sound.length} sent, ${served} served whole`);
-    lines.push(`streams with the defective part: ${defective.length} sent, ${arrivals.length} arrivals at replicas, `
-        + `${results.filter(({ part, status }) => part === defectivePart && status === 503).length} refused with 503`);
-    const fifth = crashes[4]?.at;
-    const late = arrivals.filter(({ at }) => fifth !== undefined && at > fifth + bounds.contact_ms);
-    lines.push(`crashes: ${crashes.length}; arrivals later than contact_ms after the fifth: ${late.length}`);
-    if (served < 50 || arrivals.length < 3) {
-        throw new CannotRunError("too little traffic was served");
+    await test.endTraffic();
+    lines.push(`sound streams: ${test.results.length} sent, ${test.served.length} served whole`);
+    test.expectServed(50);
+    const defectiveResults = await Promise.all(defective);
+    test.results.push(...defectiveResults);
+    if (arrivals.length < 3) {
+        throw new CannotRunError(`only ${arrivals.length} requests with the defective part reached a replica`);
     }
-    code = late.length > allowedArrivals ? 1 : 0;
-}
-catch (error) {
-    lines.push(`could not run: ${error.stack}`);
-    logs.push(...routers.map(router => router.output.slice(-4_000)));
-}
-finally {
-    clients.forEach(client => client.stop());
-    await Promise.all(routers.map(router => router.stop()));
-    replicas.forEach(replica => replica.stop());
-    store.stop();
-    lines.push(`exit ${code}`);
-    const log = results.map(({ id, router, part, status, complete, error, sentAt, endedAt }) =>
-        [id, router, part, status ?? "-", complete ? "whole" : "cut", error ?? "", sentAt, endedAt].join(" ")
+
+    lines.push(
+        `streams with the defective part: ${defective.length} sent, ${arrivals.length} arrivals at replicas, `
+            + `${defectiveResults.filter(({ status }) => status === 503).length} refused with 503`,
     );
-    const events = [
-        ...arrivals.map(({ at, id, replica }) => ({ at, text: `${replica} got defective ${id}` })),
-        ...crashes.map(({ at, replica }) => ({ at, text: `${replica} crashed` })),
-    ].sort((left, right) => left.at - right.at).map(({ at, text }) => `${at} ${text}`);
-    const runs = replicas.flatMap(({ id, runs: own }) => own.map(run => `${run.at} ${id} ran ${run.id}`));
-    writeFileSync(
-        "record.txt",
-        [...lines, "", "arrivals and crashes:", ...events, "", "requests:", ...log, "", "runs:", ...runs, "", ...logs].join("\n"),
+    const fifth = crashes[4]?.at ?? Infinity;
+    const late = arrivals.filter(({ at }) => at > fifth + bounds.contact_ms);
+    lines.push(`crashes: ${crashes.length}; arrivals later than contact_ms after the fifth: ${late.length}`);
+    test.events.push(
+        ...[
+            ...arrivals.map(({ at, id, replica }) => ({ at, text: `${replica} got defective ${id}` })),
+            ...crashes.map(({ at, replica }) => ({ at, text: `${replica} crashed` })),
+        ].sort((left, right) => left.at - right.at).map(({ at, text }) => `${at} ${text}`),
     );
-    console.log(lines.join("\n"));
-    process.exit(code);
-}
+    return late.length > allowedArrivals;
+});
--- a/review/support/client.mjs
+++ b/review/support/client.mjs
@@ -1,6 +1,6 @@
 // A client of the routers. Each connection carries one request at a time and is kept for the next one.
-import { Agent, request as sendRequest } from "node:http";
 import { randomBytes } from "node:crypto";
+import { Agent, request as sendRequest } from "node:http";
 import { host, key } from "./deployment.mjs";
 
 export class Client {
--- a/review/support/replicas.mjs
+++ b/review/support/replicas.mjs
@@ -26,7 +26,8 @@
     }
 
     async listen() {
-        this.server = createServer((request, response) => void this.handle(request, response));
+        // A caller that leaves in the middle of its request ends the handling of it.
+        this.server = createServer((request, response) => this.handle(request, response).catch(() => {}));
         this.server.keepAliveTimeout = 5_000;
         this.server.on("connection", socket => {
             this.#sockets.add(socket);
--- a/review/support/store.mjs
+++ b/review/support/store.mjs
@@ -127,8 +127,7 @@
     async #watch(query, response) {
         const after = Number(query.get("after_revision"));
         const find = () =>
-            this.#changes.filter(({ key, revision }) =>
-                key.startsWith(query.get("path_prefix")) && revision > after);
+            this.#changes.filter(({ key, revision }) => key.startsWith(query.get("path_prefix")) && revision > after);
         if (find().length === 0) {
             await new Promise(resolve => {
                 const wake = () => {
