--- a/review/support/deployment.mjs
+++ b/review/support/deployment.mjs
@@ -29,10 +29,8 @@
 
 /** Processes that this test has started and that have not ended. */
 const running = new Set();
-process.once("SIGTERM", () => {
-    running.forEach(child => child.kill("SIGKILL"));
-    process.exit(2);
-});
+process.once("exit", () => running.forEach(child => child.kill("SIGKILL")));
+process.once("SIGTERM", () => process.exit(2));
 
 export class CannotRunError extends Error {}
 
