Review scripts: tell a broken rule from an error of the script

An uncaught error ends Node.js with 1, which run.sh passed on as a broken rule; seen once, when another script had taken a port. The record names the result.

--- a/review/support/case.mjs
+++ b/review/support/case.mjs
@@ -9,6 +9,8 @@
 export const trouble = process.env.TROUBLE !== "0";
 
 const configurationVersion = 7;
+/** Exit code of a process whose run broke the rule. Node.js itself ends with 1 on errors, which must not look like that. */
+const brokenCode = 10;
 const logTailCharacters = 4_000;
 
 class Case {
@@ -102,19 +104,22 @@
     }
 }
 
-/** `play` returns whether the rule was broken. Ends the process with 1 if so, 0 if not, and 2 if the case could not run. */
+/**
+ * `play` returns whether the rule was broken. Ends the process with 10 if so, which run.sh turns into 1; with 0 if not, and
+ * with any other code if the case could not run.
+ */
 export async function runCase(play) {
     const test = new Case();
     let code = 2;
     try {
-        code = await play(test) ? 1 : 0;
+        code = await play(test) ? brokenCode : 0;
     }
     catch (error) {
         test.lines.push(`could not run: ${error.stack}`);
         test.events.push(...test.routers.map(router => router.output.slice(-logTailCharacters)));
     }
     await test.stop();
-    test.lines.push(`exit ${code}`);
+    test.lines.push(`result: ${{ 0: "the rule held", [brokenCode]: "the rule was broken" }[code] ?? "could not run"}`);
     test.writeRecord();
     console.log(test.lines.join("\n"));
     process.exit(code);
