Review case 1: spoil every 50th answer, and report the dose

Order: a faulty engine writes a space into a header name of a stream's head; the router process ends, and bookings on kept connections at sound replicas are cut.

--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -15,10 +15,11 @@
 class SpoilingEngine extends EngineReplica {
     faulty = false;
     spoiled = 0;
-    #answers = 0;
+    /** Answers while the engine was faulty, spoiled ones included. */
+    answers = 0;
 
     async stream(request, response) {
-        if (!this.faulty || ++this.#answers % (1 / spoiledShare) !== 1) {
+        if (!this.faulty || ++this.answers % (1 / spoiledShare) !== 0) {
             await super.stream(request, response);
             return;
         }
@@ -79,6 +80,9 @@
         } streams sent, ${test.served.length} served `
             + `whole, ${spoiled} heads spoiled`,
     );
+    engines.filter(({ answers }) => answers > 0).forEach(({ id, spoiled: count, answers }) =>
+        lines.push(`${id}: ${count} of ${answers} answers spoiled in ${spoilMilliseconds} ms`)
+    );
     for (const router of test.routers) {
         const own = lost.filter(result => result.router === router.name);
         lines.push(
