--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -20,7 +20,7 @@
 const arrivals = [];
 const crashes = [];
 
-/** Restarts empty, under a new ID and at the same address, some seconds after each crash. */
+/** Restarts empty, under a new ID and at a new address, some seconds after each crash. */
 class CrashingEngine extends EngineReplica {
     #starts = 1;
 
@@ -62,7 +62,7 @@
         this.born = Date.now();
         this.layers = undefined;
         this.orders = 0;
-        await this.listen();
+        await this.start();
     }
 }
 
