--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -1,9 +1,9 @@
-// REFUSED: one replica of three runs part of its bookings and then fails them with 503, without the header that says that a
-// request has not run. Clients repeat a booking once after a promise that it has not run.
+// REFUSED: one replica of a booking service of three runs part of its bookings and then fails them with 503, without the
+// header that says that a request has not run. Clients repeat a booking once after a promise that it has not run.
 import { book, runCase, trouble } from "../support/case.mjs";
 import { delay, EngineReplica, PlainReplica } from "../support/replicas.mjs";
 
-/** Doses of `srv_grey` in the kinds of the site: one of three replicas, 4 in 10 of its answers, for 5 s. */
+/** Doses of `srv_grey` in the kinds of the site: one of seven replicas, 4 in 10 of its answers, for 5 s. */
 const failedShare = 0.4;
 const troubleMilliseconds = 5_000;
 const clientsPerRouter = 6;
@@ -12,11 +12,12 @@
 class GreyReplica extends PlainReplica {
     faulty = false;
     failed = 0;
-    #answers = 0;
+    /** Answers while the replica was faulty, failed ones included. */
+    answers = 0;
 
     async run(request, body, response) {
-        const answers = ++this.#answers;
-        if (!this.faulty || Math.floor(answers * failedShare) === Math.floor((answers - 1) * failedShare)) {
+        this.answers += this.faulty ? 1 : 0;
+        if (!this.faulty || Math.floor(this.answers * failedShare) === Math.floor((this.answers - 1) * failedShare)) {
             await super.run(request, body, response);
             return;
         }
@@ -32,7 +33,10 @@
     const { store, lines, results } = test;
     const grey = new GreyReplica("app-1", "app", "zone-1", store, 45);
     const sound = [2, 3].map(number => new PlainReplica(`app-${number}`, "app", `zone-${number - 1}`, store, 45));
-    await test.start([grey, ...sound, new EngineReplica("engine-1", "pool", "zone-1", store)], 2);
+    const engines = [1, 2, 3, 4].map(number =>
+        new EngineReplica(`engine-${number}`, "pool", `zone-${number % 2 + 1}`, store)
+    );
+    await test.start([grey, ...sound, ...engines], 2);
     let dockets = 0;
     const bookWithRetry = async (client, router) => {
         const docket = ++dockets;
@@ -62,7 +66,8 @@
     );
     const twice = [...runsByDocket.values()].filter(count => count > 1).length;
     lines.push(
-        `${results.length} bookings sent, ${test.served.length} served; ${grey.failed} run and failed by the replica`,
+        `${results.length} bookings sent, ${test.served.length} served; ${grey.failed} of ${grey.answers} answers of one of `
+            + `${test.replicas.length} replicas run and failed`,
     );
     lines.push(
         `${refused.length} were answered with 408, 421, 429 or 503 and had run; ${twice} dockets were booked twice, because `
