--- a/review/support/deployment.mjs
+++ b/review/support/deployment.mjs
@@ -29,7 +29,11 @@
 
 /** Processes that this test has started and that have not ended. */
 const running = new Set();
-process.once("exit", () => running.forEach(child => child.kill("SIGKILL")));
+const folders = new Set();
+process.once("exit", () => {
+    running.forEach(child => child.kill("SIGKILL"));
+    folders.forEach(folder => rmSync(folder, { recursive: true, force: true }));
+});
 process.once("SIGTERM", () => process.exit(2));
 
 export class CannotRunError extends Error {}
@@ -46,7 +50,8 @@
 
     /** `contacts` are peer addresses of routers. */
     async prepare(storePort, contacts) {
-        this.folder = mkdtempSync(join(tmpdir(), "review-"));
+        const folder = mkdtempSync(join(tmpdir(), "review-"));
+        folders.add(folder);
         this.callerPort = await freePort();
         this.readinessPort = await freePort();
         const metricsPort = await freePort();
@@ -73,7 +78,7 @@
             })
             // All routers share the loopback address, so that each needs a metrics port of its own.
             .replace("127.0.0.1:9464", `127.0.0.1:${metricsPort}`);
-        this.settingsFile = join(this.folder, "settings.jsonc");
+        this.settingsFile = join(folder, "settings.jsonc");
         writeFileSync(this.settingsFile, settings);
     }
 
@@ -132,9 +137,6 @@
             this.process.kill("SIGKILL");
             await exited;
         }
-        if (this.folder !== undefined) {
-            rmSync(this.folder, { recursive: true, force: true });
-        }
     }
 }
 
