Do not answer a caller's running request for the malformed one behind it

Callers would see: 408 for a booking that runs, if the next request on its connection stops in the middle of its head, and 400 if it is no request. 408 promises that the booking has not run.

Cause: the runtime answers a connection on which it cannot read a request whether or not an earlier request is being handled on it.

Change: CallerConnections handles such connections. With a request in flight nothing is written; the connection closes after its last response. Otherwise the runtime's own answers stay as they were.

--- a/src/daemon/gateway/gateway.ts
+++ b/src/daemon/gateway/gateway.ts
@@ -121,6 +121,8 @@
             noDelay: true,
             requestTimeout: 0,
         });
+        const boundary = this.failures.createBoundary("caller connection");
+        server.on("clientError", boundary.wrap(this.requestPath.handler.handleConnectionError));
         server.maxConnections = Math.floor(this.settings.machine.maximumDescriptors * callerDescriptorShare);
         return server;
     }
--- a/src/request/gateway/gateway-handler.ts
+++ b/src/request/gateway/gateway-handler.ts
@@ -1,6 +1,7 @@
 /** Handles callers' requests: finds the route and the customer, reads the body, and forwards the request. */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import type { Duplex } from "node:stream";
 import { monotonicNow } from "../../common/clock.js";
 import type { FailureBoundary, FailureReporter } from "../../common/failure-boundary.js";
 import type { Logger } from "../../common/logger.js";
@@ -26,6 +27,7 @@
 import type { ShutdownGrace } from "../../process/gateway/shutdown-grace.js";
 import type { GatewayConfigurationIndex } from "../../version/gateway/gateway-configuration-index.js";
 import { watchDisconnection } from "../http/caller-disconnection.js";
+import { CallerConnections } from "./caller-connections.js";
 import { CallerResponse } from "./caller-response.js";
 import type { PlainForwarder } from "./plain-forwarder.js";
 import { pollUntilDefined, shortWaitEnd } from "./poll-until-defined.js";
@@ -55,8 +57,7 @@
 export class GatewayHandler {
     /** Aborting cancels a request as if its caller had disconnected. */
     private readonly running = new Set<AbortController>();
-    /** Requests that are being handled on each connection: more than one if its caller pipelines them. */
-    private readonly inFlightByConnection = new WeakMap<Socket, number>();
+    private readonly connections = new CallerConnections();
 
     constructor(private readonly dependencies: GatewayHandlerDependencies) {}
 
@@ -75,11 +76,8 @@
         const boundary = this.dependencies.failures.createBoundary("caller request", () => socket.destroy());
         const cancelled = new AbortController();
         this.running.add(cancelled);
-        this.inFlightByConnection.set(socket, this.countInFlight(socket) + 1);
-        serverResponse.on(
-            "close",
-            boundary.wrap(() => this.inFlightByConnection.set(socket, this.countInFlight(socket) - 1)),
-        );
+        this.connections.beginRequest(socket);
+        serverResponse.on("close", boundary.wrap(() => this.connections.endRequest(socket)));
         const endOnceWritten = () => {
             const end = () => this.running.delete(cancelled);
             if (serverResponse.writableFinished || socket.destroyed) {
@@ -93,13 +91,16 @@
         boundary.run(() => this.serve(message, serverResponse, cancelled, boundary).finally(endOnceWritten));
     };
 
-    private countInFlight(socket: Socket): number {
-        return this.inFlightByConnection.get(socket) ?? 0;
-    }
+    /** Handles what the runtime reports of a connection on which it cannot read a request. */
+    readonly handleConnectionError = (error: Error, socket: Duplex): void => {
+        // Callers connect over TCP only.
+        this.connections.handleError(error, socket as Socket);
+    };
 
-    /** During a shutdown, a connection closes after its last response; earlier ones are followed by others. */
+    /** Such a connection closes after its last response; earlier ones are followed by others. */
     private shouldClose(socket: Socket): boolean {
-        return this.dependencies.shutdown.begun && this.countInFlight(socket) <= 1;
+        return (this.dependencies.shutdown.begun || this.connections.isUnreadable(socket))
+            && this.connections.countInFlight(socket) <= 1;
     }
 
     private async serve(
@@ -159,7 +160,7 @@
         callerGone: AbortSignal,
     ): Promise<void> {
         const { socket } = message;
-        if (this.dependencies.shutdown.begun && (this.countInFlight(socket) > 1 || !socket.writable)) {
+        if (this.dependencies.shutdown.begun && (this.connections.countInFlight(socket) > 1 || !socket.writable)) {
             // The connection closes after a response that is under way, so that this request's may not get through.
             throw new RouterDrainingError(0);
         }
--- a/test/platform/unproven-refusals.test.ts
+++ b/test/platform/unproven-refusals.test.ts
@@ -1,5 +1,6 @@
 /** Statuses that promise a caller that its request has not run: sent only with what proves it. */
 import { afterEach, beforeEach, describe, expect, jest, test } from "@jest/globals";
+import { connect } from "node:net";
 import { impliesNotRun } from "../../src/request/gateway/not-run-statuses.js";
 import { ConnectionEnd } from "../support/raw-responses.js";
 import { configuration, GatewayFixture, type GatewayResponse } from "./gateway-fixture.js";
@@ -99,6 +100,35 @@
     expect(runs()).toBe(1);
 });
 
+// The runtime refuses a request whose head comes too slowly, and took the one before it on the connection for this one.
+test.each([
+    ["stops in the middle of its head", "POST /book/2 HTTP/1.1\r\nHost: yard"],
+    ["is no request", "\u0001\u0002 no request\r\n\r\n"],
+])("a running booking gets its own answer when the next request on its connection %s", async (_case, next) => {
+    await start();
+    fixture.publish(2, { limits: { ...(configuration(1)["limits"] as object), header_timeout_ms: 300 } });
+    fixture.servers.forEach(server => {
+        server.answerMilliseconds = 2_500;
+    });
+    const headers = "Host: yard.example\r\nAuthorization: Bearer key-1\r\nX-Attempt-Id: a-1\r\nX-Deadline-Ms: 4000\r\n";
+    fixture.publish(3, {
+        limits: { ...(configuration(1)["limits"] as object), header_timeout_ms: 300 },
+        routes: (configuration(1)["routes"] as object[]).map(route => ({ ...route, timeout_ms: 5_000 })),
+    });
+    await new Promise(resolve => setTimeout(resolve, 600));
+    const text = await new Promise<string>((resolve, reject) => {
+        const chunks: Buffer[] = [];
+        const socket = connect(fixture.callerPort, "127.0.0.1", () => {
+            socket.write(`POST /book/1 HTTP/1.1\r\n${headers}Content-Length: 0\r\n\r\n`);
+            setTimeout(() => socket.write(next), 100);
+        });
+        socket.on("data", (chunk: Buffer) => chunks.push(chunk));
+        socket.on("error", reject);
+        socket.on("close", () => resolve(Buffer.concat(chunks).toString()));
+    });
+    expect(text).toMatch(/^HTTP\/1\.1 200 OK\r\n[^]*answer of app-\d$/);
+});
+
 test("the statuses that promise that a request has not run are those of the users' pages", () => {
     const statuses = Array.from({ length: 400 }, (_value, index) => 200 + index);
     expect(statuses.filter(impliesNotRun)).toEqual([408, 421, 429, 503]);
