Hold the fleet's repeats within the budget across leaders and restarts

Cause: grants of the placement leader and the routers' fixed shares were two budgets, and each change between them gave out what had been used: notices that end, processes that start anew with an empty window, a list of routers that counts one before it is read or after the store has lost its leases.

Change: a router's own share is certain, a quarter of it while notices arrive and all of it after a window without grants; the leader grants the rest, and counts as used what it does not know: silent routers' shares, unconfirmed grants, and what an earlier leader may have granted. A possible successor of a process starts without the fixed number for a window. The number of routers is unknown until it is read, and keeps routers for a minute after their registration ends. Notices read after their sender has given up are not applied.

Why it works: at no time do two rules allow the same retry; each hand-over between them waits until the former use has left the window.

--- a/src/connection/gateway/peer-notices.ts
+++ b/src/connection/gateway/peer-notices.ts
@@ -48,7 +48,16 @@
 
 const reportSchema = z.object({
     loads: loadsSchema,
-    retryUsages: z.record(z.string(), z.object({ requests: wholeNumber(), retries: wholeNumber() })),
+    retryUsages: z.record(
+        z.string(),
+        z.object({
+            requests: wholeNumber(),
+            retries: wholeNumber(),
+            /** Missing in reports of earlier routers, as is the age of the records. */
+            granted: z.optional(wholeNumber()),
+        }),
+    ),
+    recordedMilliseconds: z.optional(quantity()),
 });
 
 export function encodeNotice({ sender, servers, otherLoads, retryGrants }: PlacementNotice): Buffer {
@@ -71,14 +80,24 @@
     };
 }
 
-export function encodeReport({ loads, retryUsages }: RouterReport): Buffer {
-    return Buffer.from(JSON.stringify({ loads: formatLoads(loads), retryUsages: Object.fromEntries(retryUsages) }));
+export function encodeReport({ loads, retryUsage }: RouterReport): Buffer {
+    return Buffer.from(JSON.stringify({
+        loads: formatLoads(loads),
+        retryUsages: Object.fromEntries(retryUsage.usages),
+        recordedMilliseconds: retryUsage.recordedMilliseconds,
+    }));
 }
 
 /** Throws InvalidPeerMessageError if the text is not a valid report. */
 export function decodeReport(text: string): RouterReport {
-    const { loads, retryUsages } = parsePeerMessage("report of a router", reportSchema, text);
-    return { loads: parseLoads(loads), retryUsages: new Map(Object.entries(retryUsages)) };
+    const { loads, retryUsages, recordedMilliseconds } = parsePeerMessage("report of a router", reportSchema, text);
+    const usages = Object.entries(retryUsages).map(([service, { requests, retries, granted }]) =>
+        [service, { requests, retries, granted: granted ?? retries }] as const
+    );
+    return {
+        loads: parseLoads(loads),
+        retryUsage: { usages: new Map(usages), recordedMilliseconds: recordedMilliseconds ?? 0 },
+    };
 }
 
 interface NoticeRound {
--- a/src/connection/gateway/peer-server.ts
+++ b/src/connection/gateway/peer-server.ts
@@ -4,6 +4,7 @@
  */
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { createContainedServer } from "../../common/contained-server.js";
+import { readPendingInput } from "../../common/event-loop.js";
 import type { FailureReporter } from "../../common/failure-boundary.js";
 import type { Logger } from "../../common/logger.js";
 import { readBoundedText } from "../../common/read-bounded-text.js";
@@ -50,6 +51,14 @@
 ): Promise<void> {
     try {
         const notice = decodeNotice(await readBoundedText(message, maximumPeerMessageBytes));
+        // A router that was paused reads notices whose sender has given up long ago; what they grant has run out.
+        await readPendingInput();
+        if (message.socket.destroyed || message.socket.readableEnded) {
+            options.logger.info("placement notice read too late; its sender no longer waits", {
+                sender: notice.sender,
+            });
+            return;
+        }
         sendJson(response, encodeReport(options.receiveNotice(notice)));
     }
     catch (error) {
--- a/src/daemon/gateway/gateway-state.ts
+++ b/src/daemon/gateway/gateway-state.ts
@@ -66,6 +66,7 @@
     const routers = new RouterDirectory(
         store,
         layout.routerKeyPrefix,
+        layout.fleetStartedKey,
         settings.router.name,
         settings.listen.peers,
         logger.withLabel("routers"),
--- a/src/daemon/gateway/gateway.ts
+++ b/src/daemon/gateway/gateway.ts
@@ -141,7 +141,7 @@
                 registry.applyNotice(notice.servers);
                 fleetLoad.applyOtherLoads(notice.otherLoads);
                 retries.applyGrants(notice.retryGrants);
-                return { loads: fleetLoad.localLoads, retryUsages: retries.usages };
+                return { loads: fleetLoad.localLoads, retryUsage: retries.report };
             },
             acceptLeadership: offer => leadership.adopt(offer),
             snapshotAfter: revision => storeCache.snapshotAfter(revision),
--- a/src/daemon/gateway/request-path.ts
+++ b/src/daemon/gateway/request-path.ts
@@ -143,8 +143,9 @@
     return new FleetRetryBudget({
         ratio: bounds.retryRatio,
         extra: bounds.retryExtra,
-        routerCount: () => routers.recentPeakCount,
-        ownUsages: () => ownBudget.usages,
+        windowMilliseconds: bounds.retryWindowSeconds * millisecondsPerSecond,
+        routerCount: () => routers.budgetSharers,
+        ownReport: () => ownBudget.report,
     });
 }
 
@@ -157,7 +158,8 @@
         ratio: bounds.retryRatio,
         windowMilliseconds: bounds.retryWindowSeconds * millisecondsPerSecond,
         extra: bounds.retryExtra,
-        routerCount: () => routers.recentPeakCount,
+        routerCount: () => routers.budgetSharers,
+        mayHaveFormerProcess: () => routers.mayHaveFormerProcess,
         random,
     });
 }
--- a/src/domain/gateway/placement-notice.ts
+++ b/src/domain/gateway/placement-notice.ts
@@ -29,10 +29,17 @@
 export interface RetryUsage {
     readonly requests: number;
     readonly retries: number;
+    /** Those of the retries that the placement leader has granted. */
+    readonly granted: number;
 }
 
-/** Keyed by service. */
-export type RetryUsages = ReadonlyMap<string, RetryUsage>;
+/** What one router has used of the retry budget. */
+export interface RetryUsageReport {
+    /** Keyed by service. */
+    readonly usages: ReadonlyMap<string, RetryUsage>;
+    /** Age of the router's records: it does not know what its former process has used. */
+    readonly recordedMilliseconds: number;
+}
 
 /** Retries that a router may make until the next notice, keyed by service; fractions are chances of one more. */
 export type RetryGrants = ReadonlyMap<string, number>;
@@ -40,7 +47,7 @@
 /** What a router reports in response to a notice. */
 export interface RouterReport {
     readonly loads: ServerLoads;
-    readonly retryUsages: RetryUsages;
+    readonly retryUsage: RetryUsageReport;
 }
 
 export interface PlacementNotice {
--- a/src/domain/gateway/store-layout.ts
+++ b/src/domain/gateway/store-layout.ts
@@ -12,6 +12,8 @@
     readonly placementLeaderKey: string;
     /** Prefix of the keys of routers; the router's name follows. The value is its address for other routers. */
     readonly routerKeyPrefix: string;
+    /** Key that lasts from the first registration of any router. */
+    readonly fleetStartedKey: string;
     /** Prefix of the keys of evidence of crashes that prompts may have caused. */
     readonly crashEvidenceKeyPrefix: string;
     /** Prefix of the keys of blocked prompt parts; the ID of the part follows. */
--- a/src/process/gateway/layer-placement/placement-loop.ts
+++ b/src/process/gateway/layer-placement/placement-loop.ts
@@ -259,11 +259,11 @@
                 sender,
                 servers,
                 otherLoads: fleetLoad.totalExcluding(formatSocketAddress(router)),
-                retryGrants,
+                retryGrants: retries.grantsFor(formatSocketAddress(router), retryGrants),
             }),
-            (router, { loads, retryUsages }) => {
+            (router, { loads, retryUsage }) => {
                 fleetLoad.recordRouterLoads(formatSocketAddress(router), loads);
-                retries.recordUsages(formatSocketAddress(router), retryUsages);
+                retries.recordReport(formatSocketAddress(router), retryUsage);
             },
         );
     }
--- a/src/process/gateway/router-directory.ts
+++ b/src/process/gateway/router-directory.ts
@@ -14,9 +14,10 @@
 const leaseMilliseconds = 12_000;
 /**
  * A router that cannot reach the store continues to send requests after its lease has expired. Its share of the retry
- * budget is not redistributed to the other routers for this long.
+ * budget is not redistributed to the other routers for this long after they have learnt of that; the router itself stops
+ * using the share at the end of this time, which it counts from the last renewal.
  */
-const peakRetentionMilliseconds = 60_000;
+const shareRetentionMilliseconds = 60_000;
 const renewalIntervalMilliseconds = 4_000;
 const retryDelayMilliseconds = 1_000;
 
@@ -24,13 +25,23 @@
     readonly name = "router directory";
     private readonly stopping = new AbortController();
     private readonly routers = new Map<string, SocketAddress>();
-    private peak = { count: 1, observedAt: monotonicNow() };
+    /** Monotonic times at which routers were removed, by name. */
+    private readonly removedAt = new Map<string, number>();
+    private renewedAt = -Infinity;
+    private formerProcess: boolean | undefined;
+    private resolveLoaded!: () => void;
+    /** Resolves once the routers have been read in full. */
+    private readonly loaded = new Promise<void>(resolve => {
+        this.resolveLoaded = resolve;
+    });
     private lease: number | undefined;
     private running: Promise<void> | undefined;
 
     constructor(
         private readonly store: MetadataStore,
         private readonly keyPrefix: string,
+        /** Key that lasts from the first registration of any router. */
+        private readonly fleetStartedKey: string,
         private readonly ownName: string,
         /** Address at which other routers reach this router. */
         private readonly ownAddress: SocketAddress,
@@ -42,12 +53,22 @@
         return Math.max(1, this.routers.size);
     }
 
-    /** Highest recent number of registered routers; includes routers that may still send after their lease expired. */
-    get recentPeakCount(): number {
-        if (this.count >= this.peak.count || monotonicNow() - this.peak.observedAt > peakRetentionMilliseconds) {
-            this.peak = { count: this.count, observedAt: monotonicNow() };
+    /**
+     * Number of routers that may use a share of the retry budget: the registered ones, and those whose registration has ended
+     * recently. Undefined until the routers have been read in full, and if the others may no longer count this router, which
+     * then has no share of its own.
+     */
+    get budgetSharers(): number | undefined {
+        const limit = monotonicNow() - shareRetentionMilliseconds;
+        if (this.formerProcess === undefined || this.renewedAt < limit) {
+            return undefined;
         }
-        return this.peak.count;
+        this.removedAt.forEach((removedAt, name) => {
+            if (removedAt < limit) {
+                this.removedAt.delete(name);
+            }
+        });
+        return Math.max(1, this.routers.size + this.removedAt.size);
     }
 
     /** Addresses of the other registered routers. */
@@ -55,6 +76,15 @@
         return [...this.routers].filter(([name]) => name !== this.ownName).map(([, address]) => address);
     }
 
+    /**
+     * Whether a process of this router may have run just before this one: any router had registered before this process
+     * read the store. Registrations themselves do not tell, since the store may lose their leases in an outage. True until
+     * the store has been read.
+     */
+    get mayHaveFormerProcess(): boolean {
+        return this.formerProcess !== false;
+    }
+
     async start(): Promise<void> {
         this.running = this.maintainRegistration();
     }
@@ -62,6 +92,7 @@
     /** Revokes the lease, so that the other routers stop counting this router before it would have expired. */
     async stop(): Promise<void> {
         this.stopping.abort();
+        this.resolveLoaded();
         await this.running;
         if (this.lease !== undefined) {
             await this.store.revokeLease(this.lease).catch((error: unknown) =>
@@ -74,18 +105,25 @@
 
     put(name: string, address: SocketAddress): void {
         this.routers.set(name, address);
+        this.removedAt.delete(name);
     }
 
     remove(name: string): void {
-        this.routers.delete(name);
+        if (this.routers.delete(name)) {
+            this.removedAt.set(name, monotonicNow());
+        }
     }
 
-    replaceAll(routers: ReadonlyMap<string, SocketAddress>): void {
-        this.routers.clear();
-        routers.forEach((address, name) => this.routers.set(name, address));
+    /** `fleetHasStarted` tells whether the store holds the key that says so. */
+    replaceAll(routers: ReadonlyMap<string, SocketAddress>, fleetHasStarted: boolean): void {
+        this.formerProcess ??= fleetHasStarted;
+        this.resolveLoaded();
+        [...this.routers.keys()].filter(name => !routers.has(name)).forEach(name => this.remove(name));
+        routers.forEach((address, name) => this.put(name, address));
     }
 
     private async maintainRegistration(): Promise<void> {
+        await this.loaded;
         while (!this.stopping.signal.aborted) {
             let delayMilliseconds = renewalIntervalMilliseconds;
             try {
@@ -103,8 +141,10 @@
     }
 
     private async renewOrRegister(): Promise<void> {
+        const sentAt = monotonicNow();
         if (this.lease !== undefined) {
             await this.store.renewLease(this.lease);
+            this.renewedAt = sentAt;
             return;
         }
         const lease = await this.store.grantLease(leaseMilliseconds);
@@ -114,8 +154,9 @@
                 key: this.keyPrefix + this.ownName,
                 value: Buffer.from(formatSocketAddress(this.ownAddress)),
                 leaseId: lease,
-            }],
+            }, { key: this.fleetStartedKey, value: Buffer.from("1") }],
         });
         this.lease = lease;
+        this.renewedAt = sentAt;
     }
 }
--- a/src/process/gateway/store-dispatcher.ts
+++ b/src/process/gateway/store-dispatcher.ts
@@ -52,7 +52,7 @@
             this.applyConfiguration(configuration.value, configuration.revision);
         }
         this.registry.replaceAll({ entries, revision: storeRevision, afterOutage });
-        this.routers.replaceAll(routers);
+        this.routers.replaceAll(routers, items.some(({ key }) => key === this.layout.fleetStartedKey));
         this.leaderObserver.leaderKeyChanged(items.find(({ key }) => key === this.layout.placementLeaderKey)?.value);
         this.quarantine.replaceAll(items);
     }
@@ -73,7 +73,7 @@
         else if (key === this.layout.placementLeaderKey) {
             this.leaderObserver.leaderKeyChanged(value);
         }
-        else if (!this.quarantine.applyChange(change)) {
+        else if (key !== this.layout.fleetStartedKey && !this.quarantine.applyChange(change)) {
             this.applyRouter(this.routerName(key), value);
         }
     }
--- a/src/process/gateway/windowed-retry-budget.ts
+++ b/src/process/gateway/windowed-retry-budget.ts
@@ -1,14 +1,16 @@
 /**
- * This router's share of the retry budget that the operator sets for each service. The budget of a sliding window is a
- * ratio of the requests plus a fixed number of retries. While the placement leader's notices arrive, their grants apply.
- * Otherwise the fixed number is divided by the number of routers, so that they stay within the budget without
- * coordination.
+ * This router's part of the retry budget that the operator sets for each service: a ratio of the requests plus a fixed
+ * number, in a sliding window, for all routers together. A router's own share is certain: no other router uses it. While
+ * the placement leader's notices arrive, a part of the own share applies, and the leader grants the rest of all shares by
+ * need. A router that has had no grant for a whole window has its full share, since the leader then counts on that.
+ *
+ * What a former process of this router has used is not known, so its successor uses nothing of the fixed number for a
+ * window. The number of routers must not be assumed either: without it, only the ratio of the router's own requests is left.
  */
 import { monotonicNow } from "../../common/clock.js";
 import type { RandomSource } from "../../common/random.js";
-import type { RetryGrants, RetryUsages } from "../../domain/gateway/placement-notice.js";
-import { noticeIntervalMilliseconds } from "./fleet-load.js";
-import { usableBudgetShare } from "./fleet-retry-budget.js";
+import type { RetryGrants, RetryUsageReport } from "../../domain/gateway/placement-notice.js";
+import { grantLifetimeMilliseconds, reservedShare, usableBudgetShare } from "./retry-budget-shares.js";
 
 export interface WindowedRetryBudgetOptions {
     /** Retries allowed per request. */
@@ -16,21 +18,26 @@
     readonly windowMilliseconds: number;
     /** Fixed number of retries per window in addition to the ratio, for all routers together. */
     readonly extra: number;
-    /** Number of routers that share the fixed number of retries. */
-    routerCount(): number;
+    /**
+     * Number of routers that share the fixed number of retries; undefined while it is not known, or while the others may no
+     * longer count this router.
+     */
+    routerCount(): number | undefined;
+    /** Whether a process of this router may have run just before this one. */
+    mayHaveFormerProcess(): boolean;
     readonly random: RandomSource;
 }
 
-/** Grants of a notice apply until the next one, which may be one interval late. */
-const grantLifetimeMilliseconds = 2 * noticeIntervalMilliseconds;
-
 interface ServiceWindow {
     /** Monotonic times in milliseconds, in ascending order. */
     readonly requests: number[];
-    readonly retries: number[];
+    /** Retries of the router's own share. */
+    readonly ownRetries: number[];
+    readonly grantedRetries: number[];
 }
 
 export class WindowedRetryBudget {
+    private readonly startedAt = monotonicNow();
     private readonly windows = new Map<string, ServiceWindow>();
     /** Whole retries left of the last notice's grants, by service. */
     private readonly granted = new Map<string, number>();
@@ -44,53 +51,84 @@
 
     /** Whether the budget allows another retry for the service now. */
     allows(service: string): boolean {
-        const granted = monotonicNow() < this.grantsEndAt ? this.granted.get(service) : undefined;
-        if (granted !== undefined) {
-            return granted >= 1;
-        }
-        const window = this.window(service);
-        const extra = this.options.extra / Math.max(1, this.options.routerCount());
-        return window.retries.length + 1 <= usableBudgetShare * (this.options.ratio * window.requests.length + extra);
+        return this.hasOwnShareLeft(this.window(service)) || this.hasGrantLeft(service);
     }
 
     /** Consumes one retry of the budget; false if none is left. */
     tryConsume(service: string): boolean {
-        if (!this.allows(service)) {
-            return false;
+        const window = this.window(service);
+        if (this.hasOwnShareLeft(window)) {
+            window.ownRetries.push(monotonicNow());
+            return true;
         }
-        this.window(service).retries.push(monotonicNow());
-        const granted = this.granted.get(service);
-        if (granted !== undefined) {
-            this.granted.set(service, granted - 1);
+        if (this.hasGrantLeft(service)) {
+            window.grantedRetries.push(monotonicNow());
+            this.granted.set(service, this.granted.get(service)! - 1);
+            return true;
         }
-        return true;
+        return false;
     }
 
     /** Replaces the grants of earlier notices; a fraction is the chance of one more retry. */
     applyGrants(grants: RetryGrants): void {
         this.granted.clear();
+        if (grants.size === 0) {
+            return;
+        }
         grants.forEach((retries, service) =>
             this.granted.set(service, Math.floor(retries + this.options.random.next()))
         );
         this.grantsEndAt = monotonicNow() + grantLifetimeMilliseconds;
     }
 
-    /** Requests and retries of the current window, by service. */
-    get usages(): RetryUsages {
-        return new Map([...this.windows.keys()].map(service => {
-            const { requests, retries } = this.window(service);
-            return [service, { requests: requests.length, retries: retries.length }];
+    /** What this router has used, for the placement leader. */
+    get report(): RetryUsageReport {
+        const usages = new Map([...this.windows.keys()].map(service => {
+            const { requests, ownRetries, grantedRetries } = this.window(service);
+            const retries = ownRetries.length + grantedRetries.length;
+            return [service, { requests: requests.length, retries, granted: grantedRetries.length }];
         }));
+        return { usages, recordedMilliseconds: this.recordedMilliseconds };
+    }
+
+    private hasOwnShareLeft({ requests, ownRetries }: ServiceWindow): boolean {
+        const { ratio } = this.options;
+        const share = this.hadGrantsInWindow ? reservedShare : 1;
+        return ownRetries.length + 1 <= usableBudgetShare * share * (ratio * requests.length + this.ownExtra);
+    }
+
+    private hasGrantLeft(service: string): boolean {
+        return monotonicNow() < this.grantsEndAt && (this.granted.get(service) ?? 0) >= 1;
+    }
+
+    private get hadGrantsInWindow(): boolean {
+        return monotonicNow() < this.grantsEndAt + this.options.windowMilliseconds;
+    }
+
+    /** This router's part of the fixed number of retries. */
+    private get ownExtra(): number {
+        const { extra, windowMilliseconds } = this.options;
+        const routers = this.options.routerCount();
+        const isComplete = this.recordedMilliseconds >= windowMilliseconds;
+        return isComplete && routers !== undefined ? extra / Math.max(1, routers) : 0;
+    }
+
+    /** Time for which all retries of this router are known; a router without a former process has used none before. */
+    private get recordedMilliseconds(): number {
+        const age = monotonicNow() - this.startedAt;
+        return this.options.mayHaveFormerProcess() ? age : age + this.options.windowMilliseconds;
     }
 
     private window(service: string): ServiceWindow {
         let window = this.windows.get(service);
         if (window === undefined) {
-            window = { requests: [], retries: [] };
+            window = { requests: [], ownRetries: [], grantedRetries: [] };
             this.windows.set(service, window);
         }
-        removeBefore(window.requests, monotonicNow() - this.options.windowMilliseconds);
-        removeBefore(window.retries, monotonicNow() - this.options.windowMilliseconds);
+        const limit = monotonicNow() - this.options.windowMilliseconds;
+        removeBefore(window.requests, limit);
+        removeBefore(window.ownRetries, limit);
+        removeBefore(window.grantedRetries, limit);
         return window;
     }
 }
--- a/test/request/gateway/unsendable-requests.test.ts
+++ b/test/request/gateway/unsendable-requests.test.ts
@@ -63,6 +63,7 @@
             windowMilliseconds: 1_000,
             extra: 10,
             routerCount: () => 1,
+            mayHaveFormerProcess: () => false,
             random,
         }),
         retryAdvice: new SpreadRetryAdvice(random),
