Give successors of processes and first starts a safe part of the retry budget

Cause: a process that may have a predecessor had nothing of the fixed number for a window, and a leader that could grant nothing yet still cut the routers' own shares by its notices.

A leader with nothing to grant sends no grants. At a first start a share waits until the list is complete.

--- a/src/daemon/gateway/gateway-state.ts
+++ b/src/daemon/gateway/gateway-state.ts
@@ -29,6 +29,7 @@
  * Fraction of the drain period for which a leaving server, one that is draining or was removed from the registry, may
  * still receive requests; the rest covers the time that a request takes to reach the server.
  */
+const millisecondsPerSecond = 1_000;
 const leavingUseShare = 0.85;
 
 export interface GatewayStateOptions {
@@ -65,10 +66,14 @@
     const registry = new ServerRegistry(leavingUseMilliseconds, logger.withLabel("registry"));
     const routers = new RouterDirectory(
         store,
-        layout.routerKeyPrefix,
-        layout.fleetStartedKey,
+        {
+            routerPrefix: layout.routerKeyPrefix,
+            processPrefix: layout.processKeyPrefix,
+            fleetStarted: layout.fleetStartedKey,
+        },
         settings.router.name,
         settings.listen.peers,
+        settings.bounds.retryWindowSeconds * millisecondsPerSecond,
         logger.withLabel("routers"),
     );
     const peerClient = new PeerClient(failures);
--- a/src/daemon/gateway/request-path.ts
+++ b/src/daemon/gateway/request-path.ts
@@ -159,7 +159,7 @@
         windowMilliseconds: bounds.retryWindowSeconds * millisecondsPerSecond,
         extra: bounds.retryExtra,
         routerCount: () => routers.budgetSharers,
-        mayHaveFormerProcess: () => routers.mayHaveFormerProcess,
+        formerProcess: () => routers.formerProcess,
         random,
     });
 }
--- a/src/domain/gateway/store-layout.ts
+++ b/src/domain/gateway/store-layout.ts
@@ -12,6 +12,8 @@
     readonly placementLeaderKey: string;
     /** Prefix of the keys of routers; the router's name follows. The value is its address for other routers. */
     readonly routerKeyPrefix: string;
+    /** Prefix of the records of routers' processes; followed by the router's name. */
+    readonly processKeyPrefix: string;
     /** Key that lasts from the first registration of any router. */
     readonly fleetStartedKey: string;
     /** Prefix of the keys of evidence of crashes that prompts may have caused. */
--- a/src/process/gateway/fleet-retry-budget.ts
+++ b/src/process/gateway/fleet-retry-budget.ts
@@ -34,8 +34,8 @@
     reportedAt: number;
     /** Whether the router has answered the last notice. */
     answered: boolean;
-    /** Whether it has answered a notice with grants, so that it uses a part of its own share only. */
-    hasReceivedGrants: boolean;
+    /** When the last notice with grants was sent that it has answered. */
+    grantedAt: number;
     /** Grants that were sent since the notice before the last report, oldest first. */
     grants: { readonly sentAt: number; readonly grants: RetryGrants; }[];
 }
@@ -52,6 +52,7 @@
     private former: Account[] = [];
     private ledSince = -Infinity;
     private computedAt = -Infinity;
+    private ownGrantedAt = -Infinity;
 
     constructor(private readonly options: FleetRetryBudgetOptions) {}
 
@@ -60,8 +61,9 @@
         const now = monotonicNow();
         const account = this.accounts.get(router);
         if (account !== undefined && !isNewProcess(account, report)) {
-            account.hasReceivedGrants ||= !account.answered && account.grants.length > 0;
-            Object.assign(account, { report, reportedAt: now, answered: true, grants: account.grants.slice(-1) });
+            const grants = account.grants.slice(-1);
+            const grantedAt = grants[0]?.sentAt ?? account.grantedAt;
+            Object.assign(account, { report, reportedAt: now, answered: true, grants, grantedAt });
             return;
         }
         this.former.push(...(account === undefined ? [] : [account]));
@@ -69,7 +71,7 @@
             report,
             reportedAt: now,
             answered: true,
-            hasReceivedGrants: false,
+            grantedAt: -Infinity,
             grants: [],
         });
     }
@@ -91,17 +93,24 @@
         if (routers === undefined) {
             return new Map();
         }
-        const services = new Set(this.activeReports.flatMap(({ usages }) => [...usages.keys()]));
-        return new Map([...services].map(service => {
-            const left = Math.max(0, this.unreservedRetries(service, Math.max(1, routers)));
-            return [service, left / (Math.max(1, routers) * noticesUntilReported)];
+        const reports = this.activeReports;
+        const services = [...new Set(reports.flatMap(({ usages }) => [...usages.keys()]))];
+        // Grants reduce what the routers may use by themselves. They begin only where something is gained by that.
+        const reserving = reports.map(report => ({ ...report, ownShare: reservedShare }));
+        if (!services.some(service => this.unreservedRetries(service, routers, reserving) > 0)) {
+            return new Map();
+        }
+        this.ownGrantedAt = now;
+        return new Map(services.map(service => {
+            const left = Math.max(0, this.unreservedRetries(service, routers, reports));
+            return [service, left / (routers * noticesUntilReported)];
         }));
     }
 
     /** The grants for one router's notice; empty unless the router has answered the last one. */
     grantsFor(router: string, grants: RetryGrants): RetryGrants {
         const account = this.accounts.get(router);
-        if (account?.answered !== true) {
+        if (account?.answered !== true || grants.size === 0) {
             return new Map();
         }
         account.answered = false;
@@ -112,14 +121,18 @@
     /** Reports of this router and of those that answer. */
     private get activeReports(): ActiveReport[] {
         const active = [...this.accounts.values()].filter(account => !isSilent(account))
-            .map(({ report, hasReceivedGrants }) => ({ ...report, ownShare: hasReceivedGrants ? reservedShare : 1 }));
-        return [{ ...this.options.ownReport(), ownShare: reservedShare }, ...active];
+            .map(({ report, grantedAt }) => ({ ...report, ownShare: this.ownShare(grantedAt) }));
+        return [{ ...this.options.ownReport(), ownShare: this.ownShare(this.ownGrantedAt) }, ...active];
+    }
+
+    /** Part of its own share that a router uses whose last grants were sent at the given time. */
+    private ownShare(grantedAt: number): number {
+        return monotonicNow() - grantedAt < this.options.windowMilliseconds ? reservedShare : 1;
     }
 
     /** What is left of the service's budget after all that is used and all that routers may use without grants. */
-    private unreservedRetries(service: string, routers: number): number {
+    private unreservedRetries(service: string, routers: number, reports: readonly ActiveReport[]): number {
         const { ratio, extra, windowMilliseconds } = this.options;
-        const reports = this.activeReports;
         const requests = sum(reports.map(({ usages }) => usages.get(service)?.requests ?? 0));
         const budget = usableBudgetShare * (ratio * requests + extra);
         const fullShare = usableBudgetShare * extra / routers;
--- a/src/process/gateway/router-directory.ts
+++ b/src/process/gateway/router-directory.ts
@@ -6,7 +6,7 @@
 import { delay, monotonicNow } from "../../common/clock.js";
 import type { ManagedComponent } from "../../common/life-cycle.js";
 import type { Logger } from "../../common/logger.js";
-import type { MetadataStore } from "../../domain/gateway/metadata-store.js";
+import type { ItemWrite, MetadataStore } from "../../domain/gateway/metadata-store.js";
 import { formatSocketAddress, type SocketAddress } from "../../domain/gateway/server-entry.js";
 import { LeaseLostError } from "../../errors/index.js";
 
@@ -18,9 +18,44 @@
  * using the share at the end of this time, which it counts from the last renewal.
  */
 const shareRetentionMilliseconds = 60_000;
+/** Routers of a fleet that starts for the first time register within about this time of each other. */
+const firstStartMilliseconds = 400;
+const settledValue = "settled";
+const newValue = "new";
 const renewalIntervalMilliseconds = 4_000;
 const retryDelayMilliseconds = 1_000;
 
+/** What is known of the process of this router that may have run just before this one. */
+export const FormerProcess = {
+    /** The fleet starts for the first time. */
+    none: "none",
+    /** It had run for longer than the window of the retry budget. */
+    settled: "settled",
+    /** It may have been one that had just started itself, or the store has lost its record. */
+    unknown: "unknown",
+} as const;
+export type FormerProcess = typeof FormerProcess[keyof typeof FormerProcess];
+
+/** What the store holds of the routers' processes. */
+export interface ProcessRecords {
+    readonly fleetHasStarted: boolean;
+    /** Names of the routers whose process had settled when it wrote its record. */
+    readonly settled: ReadonlySet<string>;
+}
+
+export interface RouterKeys {
+    /** Followed by a router's name, as `processPrefix`. */
+    readonly routerPrefix: string;
+    readonly processPrefix: string;
+    /** Key that lasts from the first registration of any router. */
+    readonly fleetStarted: string;
+}
+
+/** Whether the value of a process record says that the process had settled. */
+export function isSettledRecord(value: Buffer): boolean {
+    return value.toString("utf8") === settledValue;
+}
+
 export class RouterDirectory implements ManagedComponent {
     readonly name = "router directory";
     private readonly stopping = new AbortController();
@@ -28,7 +63,12 @@
     /** Monotonic times at which routers were removed, by name. */
     private readonly removedAt = new Map<string, number>();
     private renewedAt = -Infinity;
-    private formerProcess: boolean | undefined;
+    private former: FormerProcess = FormerProcess.unknown;
+    private hasBeenRead = false;
+    /** When this process saw its own registration on the list. */
+    private listedAt = Infinity;
+    private isRecordedAsSettled = false;
+    private readonly startedAt = monotonicNow();
     private resolveLoaded!: () => void;
     /** Resolves once the routers have been read in full. */
     private readonly loaded = new Promise<void>(resolve => {
@@ -39,12 +79,12 @@
 
     constructor(
         private readonly store: MetadataStore,
-        private readonly keyPrefix: string,
-        /** Key that lasts from the first registration of any router. */
-        private readonly fleetStartedKey: string,
+        private readonly keys: RouterKeys,
         private readonly ownName: string,
         /** Address at which other routers reach this router. */
         private readonly ownAddress: SocketAddress,
+        /** Window of the retry budget in milliseconds. */
+        private readonly settlingMilliseconds: number,
         private readonly logger: Logger,
     ) {}
 
@@ -60,7 +100,7 @@
      */
     get budgetSharers(): number | undefined {
         const limit = monotonicNow() - shareRetentionMilliseconds;
-        if (this.formerProcess === undefined || this.renewedAt < limit) {
+        if (!this.isListComplete || this.renewedAt < limit) {
             return undefined;
         }
         this.removedAt.forEach((removedAt, name) => {
@@ -76,13 +116,16 @@
         return [...this.routers].filter(([name]) => name !== this.ownName).map(([, address]) => address);
     }
 
-    /**
-     * Whether a process of this router may have run just before this one: any router had registered before this process
-     * read the store. Registrations themselves do not tell, since the store may lose their leases in an outage. True until
-     * the store has been read.
-     */
-    get mayHaveFormerProcess(): boolean {
-        return this.formerProcess !== false;
+    /** Whether the routers that start together with this one are on the list. Later ones wait before they use their share. */
+    private get isListComplete(): boolean {
+        return this.former === FormerProcess.none
+            ? monotonicNow() - this.listedAt >= firstStartMilliseconds
+            : this.hasBeenRead;
+    }
+
+    /** What the store said of a former process of this router when this process read it first. */
+    get formerProcess(): FormerProcess {
+        return this.former;
     }
 
     async start(): Promise<void> {
@@ -106,6 +149,9 @@
     put(name: string, address: SocketAddress): void {
         this.routers.set(name, address);
         this.removedAt.delete(name);
+        if (name === this.ownName) {
+            this.listedAt = Math.min(this.listedAt, monotonicNow());
+        }
     }
 
     remove(name: string): void {
@@ -114,9 +160,11 @@
         }
     }
 
-    /** `fleetHasStarted` tells whether the store holds the key that says so. */
-    replaceAll(routers: ReadonlyMap<string, SocketAddress>, fleetHasStarted: boolean): void {
-        this.formerProcess ??= fleetHasStarted;
+    replaceAll(routers: ReadonlyMap<string, SocketAddress>, records: ProcessRecords): void {
+        if (!this.hasBeenRead) {
+            this.hasBeenRead = true;
+            this.former = findFormerProcess(records, this.ownName);
+        }
         this.resolveLoaded();
         [...this.routers.keys()].filter(name => !routers.has(name)).forEach(name => this.remove(name));
         routers.forEach((address, name) => this.put(name, address));
@@ -142,21 +190,52 @@
 
     private async renewOrRegister(): Promise<void> {
         const sentAt = monotonicNow();
-        if (this.lease !== undefined) {
+        if (this.lease === undefined) {
+            await this.register();
+        }
+        else if (this.isSettled && !this.isRecordedAsSettled) {
+            await this.write(this.lease, [this.processRecord(this.lease)]);
+        }
+        else {
             await this.store.renewLease(this.lease);
-            this.renewedAt = sentAt;
-            return;
         }
+        this.renewedAt = sentAt;
+    }
+
+    private async register(): Promise<void> {
         const lease = await this.store.grantLease(leaseMilliseconds);
-        await this.store.commit({
-            conditions: [],
-            writes: [{
-                key: this.keyPrefix + this.ownName,
-                value: Buffer.from(formatSocketAddress(this.ownAddress)),
-                leaseId: lease,
-            }, { key: this.fleetStartedKey, value: Buffer.from("1") }],
-        });
+        const address = Buffer.from(formatSocketAddress(this.ownAddress));
+        await this.write(lease, [
+            { key: this.keys.routerPrefix + this.ownName, value: address, leaseId: lease },
+            this.processRecord(lease),
+            { key: this.keys.fleetStarted, value: Buffer.from("1") },
+        ]);
         this.lease = lease;
-        this.renewedAt = sentAt;
     }
+
+    /** Throws LeaseLostError if the lease has ended. */
+    private async write(leaseId: number, writes: readonly ItemWrite[]): Promise<void> {
+        const isSettled = this.isSettled;
+        if (!await this.store.commit({ conditions: [], writes })) {
+            throw new LeaseLostError(String(leaseId));
+        }
+        this.isRecordedAsSettled = isSettled;
+    }
+
+    private processRecord(leaseId: number): ItemWrite {
+        const value = Buffer.from(this.isSettled ? settledValue : newValue);
+        return { key: this.keys.processPrefix + this.ownName, value, leaseId };
+    }
+
+    /** Whether what a former process has used of the retry budget no longer matters. */
+    private get isSettled(): boolean {
+        return this.former === FormerProcess.none || monotonicNow() - this.startedAt >= this.settlingMilliseconds;
+    }
+}
+
+function findFormerProcess({ fleetHasStarted, settled }: ProcessRecords, name: string): FormerProcess {
+    if (!fleetHasStarted) {
+        return FormerProcess.none;
+    }
+    return settled.has(name) ? FormerProcess.settled : FormerProcess.unknown;
 }
--- a/src/process/gateway/store-dispatcher.ts
+++ b/src/process/gateway/store-dispatcher.ts
@@ -12,7 +12,7 @@
 import { MalformedConfigurationError } from "../../errors/index.js";
 import type { ActiveConfiguration } from "./active-configuration.js";
 import type { PromptQuarantine } from "./prompt-quarantine/prompt-quarantine.js";
-import type { RouterDirectory } from "./router-directory.js";
+import { isSettledRecord, type ProcessRecords, type RouterDirectory } from "./router-directory.js";
 import type { ServerRegistry } from "./server-registry.js";
 import type { StoreObserver } from "./store-watcher.js";
 
@@ -52,11 +52,18 @@
             this.applyConfiguration(configuration.value, configuration.revision);
         }
         this.registry.replaceAll({ entries, revision: storeRevision, afterOutage });
-        this.routers.replaceAll(routers, items.some(({ key }) => key === this.layout.fleetStartedKey));
+        this.routers.replaceAll(routers, this.findProcessRecords(items));
         this.leaderObserver.leaderKeyChanged(items.find(({ key }) => key === this.layout.placementLeaderKey)?.value);
         this.quarantine.replaceAll(items);
     }
 
+    private findProcessRecords(items: readonly StoredItem[]): ProcessRecords {
+        const { processKeyPrefix, fleetStartedKey } = this.layout;
+        const settled = items.filter(({ key, value }) => key.startsWith(processKeyPrefix) && isSettledRecord(value))
+            .map(({ key }) => key.slice(processKeyPrefix.length));
+        return { fleetHasStarted: items.some(({ key }) => key === fleetStartedKey), settled: new Set(settled) };
+    }
+
     applyChanges(changes: readonly ItemChange[]): void {
         changes.forEach(change => this.applyChange(change));
     }
@@ -73,7 +80,7 @@
         else if (key === this.layout.placementLeaderKey) {
             this.leaderObserver.leaderKeyChanged(value);
         }
-        else if (key !== this.layout.fleetStartedKey && !this.quarantine.applyChange(change)) {
+        else if (!this.quarantine.applyChange(change)) {
             this.applyRouter(this.routerName(key), value);
         }
     }
--- a/src/process/gateway/windowed-retry-budget.ts
+++ b/src/process/gateway/windowed-retry-budget.ts
@@ -4,13 +4,14 @@
  * the placement leader's notices arrive, a part of the own share applies, and the leader grants the rest of all shares by
  * need. A router that has had no grant for a whole window has its full share, since the leader then counts on that.
  *
- * What a former process of this router has used is not known, so its successor uses nothing of the fixed number for a
- * window. The number of routers must not be assumed either: without it, only the ratio of the router's own requests is left.
+ * What a former process of this router has used is not known, so its successor uses little of the fixed number for a
+ * window, and nothing if the former process was such a successor itself. The number of routers must not be assumed either: without it, only the ratio of the router's own requests is left.
  */
 import { monotonicNow } from "../../common/clock.js";
 import type { RandomSource } from "../../common/random.js";
 import type { RetryGrants, RetryUsageReport } from "../../domain/gateway/placement-notice.js";
-import { grantLifetimeMilliseconds, reservedShare, usableBudgetShare } from "./retry-budget-shares.js";
+import { grantLifetimeMilliseconds, reservedShare, successorShare, usableBudgetShare } from "./retry-budget-shares.js";
+import { FormerProcess } from "./router-directory.js";
 
 export interface WindowedRetryBudgetOptions {
     /** Retries allowed per request. */
@@ -23,8 +24,8 @@
      * longer count this router.
      */
     routerCount(): number | undefined;
-    /** Whether a process of this router may have run just before this one. */
-    mayHaveFormerProcess(): boolean;
+    /** What is known of the process of this router that may have run just before this one. */
+    formerProcess(): FormerProcess;
     readonly random: RandomSource;
 }
 
@@ -110,13 +111,14 @@
         const { extra, windowMilliseconds } = this.options;
         const routers = this.options.routerCount();
         const isComplete = this.recordedMilliseconds >= windowMilliseconds;
-        return isComplete && routers !== undefined ? extra / Math.max(1, routers) : 0;
+        const firstShare = this.options.formerProcess() === FormerProcess.settled ? successorShare : 0;
+        return routers === undefined ? 0 : (isComplete ? 1 : firstShare) * extra / Math.max(1, routers);
     }
 
     /** Time for which all retries of this router are known; a router without a former process has used none before. */
     private get recordedMilliseconds(): number {
         const age = monotonicNow() - this.startedAt;
-        return this.options.mayHaveFormerProcess() ? age : age + this.options.windowMilliseconds;
+        return this.options.formerProcess() === FormerProcess.none ? age + this.options.windowMilliseconds : age;
     }
 
     private window(service: string): ServiceWindow {
--- a/test/platform/gateway-fixture.ts
+++ b/test/platform/gateway-fixture.ts
@@ -10,6 +10,7 @@
     crashEvidenceKeyPrefix,
     fleetStartedKey,
     placementLeaderKey,
+    processKeyPrefix,
     rootPrefix,
     routerKeyPrefix,
     serverKeyPrefix,
@@ -117,6 +118,7 @@
     ): Promise<GatewayFixture> {
         const fixture = new GatewayFixture();
         const address = await fixture.store.start();
+        fixture.recordFormerProcess("edge-1");
         for (const server of servers) {
             await server.start();
             fixture.servers.push(server);
@@ -148,10 +150,17 @@
     /** Starts another gateway on the same store; returns its number, which `sendTo` takes. */
     async addGateway(): Promise<number> {
         const number = this.gateways.length;
+        this.recordFormerProcess(`edge-${number + 1}`);
         this.gateways.push(await startGateway(`edge-${number + 1}`, this.store.address, []));
         return number;
     }
 
+    /** Lets a gateway use a part of the retry budget at once, as one that starts again, instead of after its registration. */
+    private recordFormerProcess(name: string): void {
+        this.store.put(fleetStartedKey, "1");
+        this.store.put(processKeyPrefix + name, "settled");
+    }
+
     register(server: StandInBackendServer, changes: Record<string, unknown> = {}): void {
         this.store.put(`${serverKeyPrefix}${server.id}`, server.entry(changes));
     }
@@ -322,6 +331,7 @@
             serverKeyPrefix,
             routerKeyPrefix,
             fleetStartedKey,
+            processKeyPrefix,
             placementLeaderKey,
             crashEvidenceKeyPrefix,
             blockedPartKeyPrefix,
