Count a crash as evidence once all routers' evidence on it has had time to arrive

Cause: a router saw three crashes under a sound part and decided at once, before it learnt through the store of the request at fault, which another router had sent.

Change: evidence of a crash counts 0.8 s after this router has learnt of the crash, and each new piece leads to one more decision then.

Why it works: evidence reaches all routers within a write and one batch of changes, so that what explains a crash is known when it counts.

--- a/src/daemon/gateway/gateway-state.ts
+++ b/src/daemon/gateway/gateway-state.ts
@@ -93,6 +93,7 @@
         layout,
         configuration,
         random,
+        failures,
         metrics,
         logger,
     });
--- a/src/daemon/gateway/prompt-quarantine.ts
+++ b/src/daemon/gateway/prompt-quarantine.ts
@@ -1,4 +1,5 @@
 /** Composes the quarantine of prompt parts that crash backend servers, and the writers of its records in the store. */
+import type { FailureReporter } from "../../common/failure-boundary.js";
 import type { ManagedComponent } from "../../common/life-cycle.js";
 import type { Logger } from "../../common/logger.js";
 import type { Metrics } from "../../common/metrics.js";
@@ -19,6 +20,7 @@
     readonly layout: StoreLayout;
     readonly configuration: ActiveConfiguration;
     readonly random: RandomSource;
+    readonly failures: FailureReporter;
     readonly metrics: Metrics;
     readonly logger: Logger;
 }
@@ -54,6 +56,7 @@
         writeEvidence: record => evidenceWriter.write(record),
         writeBlock: record => blockWriter.write(record),
         configurationVersion: () => configuration.current?.version ?? 0,
+        failures: options.failures,
         metrics,
         logger,
     });
--- a/src/process/gateway/prompt-quarantine/evidence-log.ts
+++ b/src/process/gateway/prompt-quarantine/evidence-log.ts
@@ -18,6 +18,13 @@
             .filter(({ learntAt }) => learntAt > oldest);
     }
 
+    /** All evidence of the crashes that this router learnt of before the given monotonic time, oldest first. */
+    ofCrashesBefore(time: number): CrashEvidence[] {
+        const { all } = this;
+        const earlierCrashes = new Set(all.filter(({ learntAt }) => learntAt <= time).map(entry => entry.serverStart));
+        return all.filter(({ serverStart }) => earlierCrashes.has(serverStart));
+    }
+
     /** Returns whether the evidence is new; evidence of this router comes back from the store. */
     add(key: string, evidence: CrashEvidence): boolean {
         if (this.entries.has(key)) {
--- a/src/process/gateway/prompt-quarantine/prompt-quarantine.ts
+++ b/src/process/gateway/prompt-quarantine/prompt-quarantine.ts
@@ -5,6 +5,7 @@
  */
 import { LRUCache } from "lru-cache";
 import { monotonicNow } from "../../../common/clock.js";
+import type { FailureBoundary, FailureReporter } from "../../../common/failure-boundary.js";
 import type { Logger } from "../../../common/logger.js";
 import type { Metrics } from "../../../common/metrics.js";
 import type { ItemChange, StoredItem } from "../../../domain/gateway/metadata-store.js";
@@ -18,6 +19,11 @@
 import type { CrashAttribution, CrashCause, CrashEvidence } from "./types.js";
 
 const maximumWitnessedParts = 1_000;
+/**
+ * Requests that ran beside the one at fault may be seen first, by another router. The evidence of a crash counts once that of
+ * all routers has had time to arrive through the store.
+ */
+const settlingMilliseconds = 800;
 const survivedAttempts = "survived";
 const brokenAttempts = "broken";
 
@@ -30,6 +36,7 @@
     readonly writeEvidence: (record: LeasedRecord) => void;
     readonly writeBlock: (record: LeasedRecord) => void;
     readonly configurationVersion: () => number;
+    readonly failures: FailureReporter;
     readonly metrics: Metrics;
     readonly logger: Logger;
 }
@@ -50,7 +57,11 @@
     /** Parts of evidence that this router has written to the store. */
     private readonly sharedParts = new LRUCache<string, true>({ max: maximumWitnessedParts });
 
-    constructor(private readonly dependencies: PromptQuarantineDependencies) {}
+    private readonly boundary: FailureBoundary;
+
+    constructor(private readonly dependencies: PromptQuarantineDependencies) {
+        this.boundary = dependencies.failures.createBoundary("prompt quarantine");
+    }
 
     /** The first of the parts that is blocked; undefined if none is. */
     findBlock(parts: readonly string[]): PromptBlock | undefined {
@@ -99,7 +110,7 @@
             parts.forEach(part => this.sharedParts.set(part, true));
             dependencies.writeEvidence({ key, value: encodeEvidence(evidence) });
         }
-        this.decide();
+        this.decideWithNewEvidence();
     }
 
     /**
@@ -127,7 +138,7 @@
         items.filter(({ key }) => key.startsWith(evidencePrefix))
             .sort((left, right) => left.revision - right.revision)
             .forEach(({ key, value }) => this.addEvidence(key, value));
-        this.decide();
+        this.decideWithNewEvidence();
     }
 
     /** Returns whether the key is one of the quarantine's. */
@@ -149,7 +160,7 @@
             this.evidence.remove(key);
         }
         else if (this.addEvidence(key, value)) {
-            this.decide();
+            this.decideWithNewEvidence();
         }
     }
 
@@ -195,13 +206,19 @@
         return part;
     }
 
+    /** Decides now, and once more when the evidence that has just arrived may count. */
+    private decideWithNewEvidence(): void {
+        this.decide();
+        setTimeout(this.boundary.wrap(() => this.decide()), settlingMilliseconds).unref();
+    }
+
     private decide(): void {
         if (this.witnessedParts.size === 0) {
             return;
         }
         const { attribution, witness } = this.dependencies;
         const own = { witness, count: (part: string) => this.successes.count(part), crashShare: this.crashShare };
-        attribution.findCauses(this.evidence.all, own)
+        attribution.findCauses(this.evidence.ofCrashesBefore(monotonicNow() - settlingMilliseconds), own)
             .filter(({ part }) => this.witnessedParts.has(part) && this.blocked.remainingMilliseconds(part) === 0)
             .forEach(cause => this.block(cause));
     }
--- a/src/process/gateway/router-directory.ts
+++ b/src/process/gateway/router-directory.ts
@@ -116,13 +116,6 @@
         return [...this.routers].filter(([name]) => name !== this.ownName).map(([, address]) => address);
     }
 
-    /** Whether the routers that start together with this one are on the list. Later ones wait before they use their share. */
-    private get isListComplete(): boolean {
-        return this.former === FormerProcess.none
-            ? monotonicNow() - this.listedAt >= firstStartMilliseconds
-            : this.hasBeenRead;
-    }
-
     /** What the store said of a former process of this router when this process read it first. */
     get formerProcess(): FormerProcess {
         return this.former;
@@ -170,6 +163,13 @@
         routers.forEach((address, name) => this.put(name, address));
     }
 
+    /** Whether the routers that start together with this one are on the list. Later ones wait before they use their share. */
+    private get isListComplete(): boolean {
+        return this.former === FormerProcess.none
+            ? monotonicNow() - this.listedAt >= firstStartMilliseconds
+            : this.hasBeenRead;
+    }
+
     private async maintainRegistration(): Promise<void> {
         await this.loaded;
         while (!this.stopping.signal.aborted) {
--- a/test/process/gateway/fixtures.ts
+++ b/test/process/gateway/fixtures.ts
@@ -6,6 +6,7 @@
 import type { ServerEntry } from "../../../src/domain/gateway/server-entry.js";
 import { ExplainingAwayAttribution } from "../../../src/process/gateway/prompt-quarantine/crash-attribution.js";
 import { PromptQuarantine } from "../../../src/process/gateway/prompt-quarantine/prompt-quarantine.js";
+import { failures } from "../../support/failures.js";
 
 export function serverEntry(id: string, changes: Partial<ServerEntry> = {}): ServerEntry {
     return {
@@ -96,6 +97,7 @@
         writeEvidence: () => undefined,
         writeBlock: () => undefined,
         configurationVersion: () => 1,
+        failures,
         metrics: new SilentMetrics(),
         logger: new SilentLogger(),
     });
--- a/test/process/gateway/prompt-quarantine/prompt-quarantine.test.ts
+++ b/test/process/gateway/prompt-quarantine/prompt-quarantine.test.ts
@@ -5,6 +5,7 @@
 import { ExplainingAwayAttribution } from "../../../../src/process/gateway/prompt-quarantine/crash-attribution.js";
 import type { LeasedRecord } from "../../../../src/process/gateway/prompt-quarantine/leased-record-writer.js";
 import { PromptQuarantine } from "../../../../src/process/gateway/prompt-quarantine/prompt-quarantine.js";
+import { failures } from "../../../support/failures.js";
 import { serverEntry } from "../fixtures.js";
 
 const blockKey = "blocks/bad";
@@ -37,6 +38,7 @@
         writeEvidence: record => evidence.push(record),
         writeBlock: record => blocks.push(record),
         configurationVersion: () => 1,
+        failures,
         metrics: new SilentMetrics(),
         logger: new WarningLogger(),
     });
@@ -119,6 +121,25 @@
     expect(evidence).toHaveLength(1);
 });
 
+// A router blocked a sound part under which its requests broke off, before it learnt of the request at fault elsewhere.
+test("a part that another router's evidence explains is not blocked, though that arrives later", () => {
+    const quarantine = createQuarantine();
+    const other = createQuarantine("router-2");
+    const servers = [1, 2, 3].map(number => serverEntry(`shared-${number}`));
+    const arrive = () => evidence.splice(0).map(stored).forEach(item => quarantine.applyChange(item));
+    for (const server of servers) {
+        quarantine.recordSuspect(server, ["c0", "c1"]);
+        other.recordSuspect(server, ["c0", "bad"]);
+        jest.advanceTimersByTime(700);
+        expect(quarantine.findBlock(["c0", "c1"])).toBeUndefined();
+        arrive();
+        jest.advanceTimersByTime(100);
+    }
+    jest.advanceTimersByTime(1_000);
+    expect(quarantine.findBlock(["c0", "c1"])).toBeUndefined();
+    expect(isBlocked(other)).toBe(true);
+});
+
 test("a block ends after ten minutes, and the part is tried again", () => {
     const quarantine = createQuarantine();
     quarantine.applyChange({ key: blockKey, revision: 1, value: Buffer.from("") });
