Date a crash by its first evidence, whichever part that names

Cause: crashes count as apart by the times at which this router learnt of them, and it learnt of its own requests' breaks earlier than of the request at fault, so that the crashes under a sound part seemed further apart than those under the defective one.

Change: all evidence of one crash has the time of the first. Why it works: a part that was near more of the crashes then never seems nearer in time than one that was near fewer.

Evidence: the new test of crash-attribution fails without the change.

--- a/src/process/gateway/prompt-quarantine/crash-attribution.ts
+++ b/src/process/gateway/prompt-quarantine/crash-attribution.ts
@@ -54,10 +54,11 @@
 function collectParts(evidence: readonly CrashEvidence[], own: OwnAttempts): Map<string, PartEvidence> {
     const parts = new Map<string, PartEvidence>();
     const latestCounts = new Map<string, Map<string, number>>();
-    for (const { serverStart, witness, parts: witnessedParts, learntAt } of evidence) {
+    const crashTimes = findCrashTimes(evidence);
+    for (const { serverStart, witness, parts: witnessedParts } of evidence) {
         witnessedParts.forEach(({ id, successes }, position) => {
             const part = parts.get(id) ?? { servers: new Map<string, number>(), successes: 0, position };
-            part.servers.set(serverStart, Math.min(learntAt, part.servers.get(serverStart) ?? Infinity));
+            part.servers.set(serverStart, crashTimes.get(serverStart)!);
             part.position = position;
             parts.set(id, part);
             const counts = latestCounts.get(id) ?? new Map<string, number>();
@@ -71,6 +72,18 @@
     return parts;
 }
 
+/**
+ * When this router learnt of each crash, by server start. The evidence of one crash arrives over some time, which must not
+ * make the crashes near one part seem further apart than those near another.
+ */
+function findCrashTimes(evidence: readonly CrashEvidence[]): Map<string, number> {
+    const times = new Map<string, number>();
+    for (const { serverStart, learntAt } of evidence) {
+        times.set(serverStart, Math.min(learntAt, times.get(serverStart) ?? Infinity));
+    }
+    return times;
+}
+
 function findLikeliest(
     parts: ReadonlyMap<string, PartEvidence>,
     crashShareOfAll: number,
--- a/test/process/gateway/prompt-quarantine/crash-attribution.test.ts
+++ b/test/process/gateway/prompt-quarantine/crash-attribution.test.ts
@@ -60,6 +60,20 @@
     expect(find("sound", "bad")).toEqual(["bad"]);
 });
 
+// A sound part was blocked: this router had seen its own requests break off at once, and learnt of the others' later.
+test("evidence that arrives late does not make the crashes under the defective part seem closer together", () => {
+    const at = (learntAt: number, record: CrashEvidence) => ({ ...record, learntAt });
+    const records = [
+        at(400, evidence(1, "own", "sound=2")),
+        at(700, evidence(1, "other", "bad")),
+        at(470, evidence(2, "own", "sound=2")),
+        at(770, evidence(2, "other", "bad")),
+        at(1_950, evidence(3, "own", "sound=2")),
+        at(2_100, evidence(3, "other", "bad")),
+    ];
+    expect(findCauses(records)).toEqual(["bad"]);
+});
+
 test("two crashes blame nothing, and neither do many evidences of one crash", () => {
     expect(findCauses(crashes(2, crash => evidence(crash * 2, "router", "bad")))).toEqual([]);
     const ofOneCrash = crashes(9, index => ({ ...evidence(0, `router-${index}`, "bad"), learntAt: index * 1_000 }));
