Hold a test of notices apart from their timeout

Cause: a notice times out after 500 ms, and the test process was held up for longer between its first two rounds. Shown by a trial with 600 ms of a blocked event loop there: the same failure. The test's client now waits for the response however long that takes; the check is unchanged.

--- a/test/connection/gateway/peer-notices.test.ts
+++ b/test/connection/gateway/peer-notices.test.ts
@@ -1,7 +1,7 @@
 import { afterEach, beforeEach, expect, jest, test } from "@jest/globals";
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
 import { SilentLogger } from "../../../src/common/logger.js";
-import { PeerClient } from "../../../src/connection/gateway/peer-client.js";
+import { PeerClient, type PeerRequest, type PeerResponse } from "../../../src/connection/gateway/peer-client.js";
 import {
     decodeNotice,
     decodeReport,
@@ -43,8 +43,15 @@
 const createRouters = (count: number): SocketAddress[] =>
     Array.from({ length: count }, (_value, index) => ({ host: `127.0.0.${index + 1}`, port }));
 
-const createSender = (routers: readonly SocketAddress[]) =>
-    new HttpNoticeSender(() => routers, new PeerClient(failures), failures, new SilentLogger());
+const createSender = (routers: readonly SocketAddress[], client = new PeerClient(failures)) =>
+    new HttpNoticeSender(() => routers, client, failures, new SilentLogger());
+
+/** Waits for a response however long the test process is held up; a notice would time out after half a second. */
+class PatientPeerClient extends PeerClient {
+    override send(router: SocketAddress, call: PeerRequest): Promise<PeerResponse> {
+        return super.send(router, { ...call, timeoutMilliseconds: 60_000 });
+    }
+}
 const pause = (milliseconds: number) => new Promise(resolve => setTimeout(resolve, milliseconds));
 
 async function waitUntil(condition: () => boolean): Promise<void> {
@@ -77,7 +84,7 @@
             socket.write(`HTTP/1.1 200 OK\r\nContent-Length: ${emptyReport.length}\r\n\r\n${emptyReport}`)
         );
     };
-    const sender = createSender(createRouters(1));
+    const sender = createSender(createRouters(1), new PatientPeerClient(failures));
     for (let round = 0; round < 5; round++) {
         sender.send(() => {
             received.push(round);
