New streams avoid engines that state that they are slow

Cause: an engine that turns slow (a throttled accelerator, a busy host) still accepts requests and answers checks, so routers went on to send it new streams; its own statement in the report was dropped. Change: the report's statement is decoded (missing or odd: nominal); the placement leader asks all engines at a bounded rate, tells the routers in its notices, and the expected times in the path choice are multiplied by the factor. Without a leader a router asks for the engines of its own quiet streams. A statement holds for 2 s from the question, however often it is passed on, and excludes nobody. New fields in existing tests' notices and reports follow the types.

--- a/src/connection/gateway/peer-notices.ts
+++ b/src/connection/gateway/peer-notices.ts
@@ -8,6 +8,7 @@
     ReportListener,
     RouterReport,
     ServerLoads,
+    SlowdownReadings,
 } from "../../domain/gateway/placement-notice.js";
 import { formatSocketAddress, type SocketAddress } from "../../domain/gateway/server-entry.js";
 import { maximumLayerCount } from "../../domain/layers.js";
@@ -44,8 +45,14 @@
     otherLoads: loadsSchema,
     /** Missing in notices of routers before the shared retry budget. */
     retryGrants: z.optional(z.record(z.string(), quantity())),
+    /** Missing in notices of earlier routers; an odd entry is left out, since the rest does not depend on it. */
+    slowdowns: z.optional(z.unknown()),
 });
 
+const slowdownsSchema = z.record(z.string(), z.unknown());
+/** Factor and age in milliseconds, keyed by the ID of the backend server. */
+const slowdownSchema = z.tuple([quantity(1), quantity()]);
+
 const reportSchema = z.object({
     loads: loadsSchema,
     retryUsages: z.record(
@@ -60,23 +67,26 @@
     recordedMilliseconds: z.optional(quantity()),
 });
 
-export function encodeNotice({ sender, servers, otherLoads, retryGrants }: PlacementNotice): Buffer {
+export function encodeNotice({ sender, servers, otherLoads, retryGrants, slowdowns }: PlacementNotice): Buffer {
     return Buffer.from(JSON.stringify({
         sender,
         servers,
         otherLoads: formatLoads(otherLoads),
         retryGrants: Object.fromEntries(retryGrants),
+        slowdowns: formatSlowdowns(slowdowns),
     }));
 }
 
 /** Throws InvalidPeerMessageError if the text is not a valid placement notice. */
 export function decodeNotice(text: string): PlacementNotice {
-    const { sender, servers, otherLoads, retryGrants } = parsePeerMessage("placement notice", noticeSchema, text);
+    const notice = parsePeerMessage("placement notice", noticeSchema, text);
+    const { sender, servers, otherLoads, retryGrants, slowdowns } = notice;
     return {
         sender,
         servers: servers.map(({ id, bornAt, layers, lost }) => ({ id, bornAt, layers, lost })),
         otherLoads: parseLoads(otherLoads),
         retryGrants: new Map(Object.entries(retryGrants ?? {})),
+        slowdowns: parseSlowdowns(slowdowns),
     };
 }
 
@@ -182,3 +192,29 @@
         Object.entries(loads).map(([id, [requests, tokens]]) => [id, { requests, tokens: Math.max(0, tokens) }]),
     );
 }
+
+/** Undefined, which JSON leaves out, if there are none. */
+function formatSlowdowns(slowdowns: SlowdownReadings): Record<string, [number, number]> | undefined {
+    return slowdowns.size === 0
+        ? undefined
+        : Object.fromEntries(
+            [...slowdowns].map(([id, { factor, ageMilliseconds }]) => [
+                id,
+                [roundToTenths(factor), Math.round(ageMilliseconds)],
+            ]),
+        );
+}
+
+function roundToTenths(value: number): number {
+    return Math.round(value * 10) / 10;
+}
+
+function parseSlowdowns(value: unknown): SlowdownReadings {
+    const { data: entries } = slowdownsSchema.safeParse(value);
+    return new Map(
+        Object.entries(entries ?? {}).flatMap(([id, entry]) => {
+            const { data } = slowdownSchema.safeParse(entry);
+            return data === undefined ? [] : [[id, { factor: data[0], ageMilliseconds: data[1] }] as const];
+        }),
+    );
+}
--- a/src/daemon/gateway/gateway.ts
+++ b/src/daemon/gateway/gateway.ts
@@ -130,7 +130,7 @@
     private addComponents(metrics: PrometheusMetrics): void {
         const { listen } = this.settings;
         const { failures } = this;
-        const { fleetLoad, retries } = this.requestPath;
+        const { fleetLoad, retries, slowdownSurvey } = this.requestPath;
         const { registry, storeWatcher, storeCache, snapshotFallback, routers, leadership, recordWriters } = this.state;
         const readiness = createContainedServer("readiness request", this.failures, (_request, response) => {
             response.writeHead(this.isReady() ? 200 : 503, { "Content-Length": "0" });
@@ -141,6 +141,7 @@
                 registry.applyNotice(notice.servers);
                 fleetLoad.applyOtherLoads(notice.otherLoads);
                 retries.applyGrants(notice.retryGrants);
+                slowdownSurvey.applyNotice(notice.slowdowns);
                 return { loads: fleetLoad.localLoads, retryUsage: retries.report };
             },
             acceptLeadership: offer => leadership.adopt(offer),
@@ -160,6 +161,7 @@
         this.lifeCycle.add(snapshotFallback);
         this.lifeCycle.add(routers);
         this.lifeCycle.add(leadership);
+        this.lifeCycle.add(slowdownSurvey);
         this.lifeCycle.add(this.requestPath.placement);
     }
 
--- a/src/daemon/gateway/request-path.ts
+++ b/src/daemon/gateway/request-path.ts
@@ -15,8 +15,10 @@
 import { LocalServerLoad } from "../../process/gateway/local-server-load.js";
 import { ServerAnnouncements } from "../../process/gateway/server-announcements.js";
 import { ServerExclusions } from "../../process/gateway/server-exclusions.js";
+import { ServerSlowdowns } from "../../process/gateway/server-slowdowns.js";
 import type { GatewaySettings } from "../../process/gateway/settings.js";
 import type { ShutdownGrace } from "../../process/gateway/shutdown-grace.js";
+import { SlowdownSurvey } from "../../process/gateway/slowdown-survey.js";
 import { WindowedRetryBudget } from "../../process/gateway/windowed-retry-budget.js";
 import { GatewayHandler } from "../../request/gateway/gateway-handler.js";
 import { GatewayHeaders } from "../../request/gateway/headers.js";
@@ -52,6 +54,7 @@
     readonly placement: PlacementLoop;
     readonly fleetLoad: FleetLoad;
     readonly retries: WindowedRetryBudget;
+    readonly slowdownSurvey: SlowdownSurvey;
 }
 
 export function createRequestPath(options: RequestPathOptions): RequestPath {
@@ -68,11 +71,22 @@
     );
     const control = new HttpServerControl(dialect, responseObserver, failures);
     const fleetLoad = new FleetLoad(load, () => routers.count);
+    const slowdowns = new ServerSlowdowns(metrics, logger.withLabel("slowdowns"));
+    const slowdownSurvey = new SlowdownSurvey({
+        registry,
+        configuration: state.configuration,
+        leadership: state.leadership,
+        control,
+        slowdowns,
+        failures,
+        logger: logger.withLabel("slowdowns"),
+    });
     const standbyPolicy = new HalfCopyStandby();
     const finder = new CheapestLayerPathFinder(random);
     const paths = new LayerPathChooser(registry, fleetLoad, exclusions, finder, standbyPolicy, {
         homeZone: settings.router.availabilityZone,
         leavingUseMilliseconds,
+        slowdowns,
     });
     const retries = createRetryBudget(settings, state, random);
     const reachability = new TcpReachabilityCheck({
@@ -108,6 +122,7 @@
             paths,
             registry,
             control,
+            slowdownSurvey,
             recoveryPolicy: new FewestZoneCrossingsPolicy(),
             firstEvents: new FirstEventLatency(),
         }),
@@ -125,6 +140,7 @@
         standbyPolicy,
         control,
         fleetLoad,
+        slowdowns,
         retries: createFleetRetryBudget(settings, state, retries),
         applyGrants: grants => retries.applyGrants(grants),
         notices: new HttpNoticeSender(() => routers.others, state.peerClient, failures, logger.withLabel("notices")),
@@ -132,7 +148,7 @@
         failures,
         logger: logger.withLabel("placement"),
     });
-    return { handler, paths, placement, fleetLoad, retries };
+    return { handler, paths, placement, fleetLoad, retries, slowdownSurvey };
 }
 
 function createFleetRetryBudget(
--- a/src/domain/gateway/placement-notice.ts
+++ b/src/domain/gateway/placement-notice.ts
@@ -44,6 +44,17 @@
 /** Retries that a router may make until the next notice, keyed by service; fractions are chances of one more. */
 export type RetryGrants = ReadonlyMap<string, number>;
 
+/** What an engine stated about its own speed. */
+export interface ServerSlowdown {
+    /** Factor on the duration of its work; 1 is nominal. */
+    readonly factor: number;
+    /** Time since the engine was asked. It grows with each message, so that passing it on does not keep it alive. */
+    readonly ageMilliseconds: number;
+}
+
+/** Keyed by backend server ID. */
+export type SlowdownReadings = ReadonlyMap<string, ServerSlowdown>;
+
 /** What a router reports in response to a notice. */
 export interface RouterReport {
     readonly loads: ServerLoads;
@@ -56,6 +67,8 @@
     /** Total load of all routers except the receiver. */
     readonly otherLoads: ServerLoads;
     readonly retryGrants: RetryGrants;
+    /** Engines that have stated that they are slow. */
+    readonly slowdowns: SlowdownReadings;
 }
 
 export interface NoticeSender {
--- a/src/domain/gateway/server-entry.ts
+++ b/src/domain/gateway/server-entry.ts
@@ -34,6 +34,8 @@
     readonly ordersBegun: number;
     /** Number of running and waiting requests. */
     readonly requests: number;
+    /** Factor by which the engine says that its work takes longer than usual; 1 is nominal, and never less. */
+    readonly slowdown: number;
 }
 
 export const OrderOutcome = {
--- a/src/process/gateway/layer-placement/placement-loop.ts
+++ b/src/process/gateway/layer-placement/placement-loop.ts
@@ -18,6 +18,7 @@
 import type { FleetRetryBudget } from "../fleet-retry-budget.js";
 import type { ServerExclusions } from "../server-exclusions.js";
 import type { ServerRegistry } from "../server-registry.js";
+import type { ServerSlowdowns } from "../server-slowdowns.js";
 import { EngineState } from "./engine-state.js";
 import { layersThatFit, minimumMemoryReserve, preferredMemoryReserve } from "./layer-capacity.js";
 import type { StandbyPolicy } from "./standby-servers.js";
@@ -45,6 +46,7 @@
     readonly control: ServerControl;
     readonly notices: NoticeSender;
     readonly fleetLoad: FleetLoad;
+    readonly slowdowns: ServerSlowdowns;
     readonly retries: FleetRetryBudget;
     /** Applies this router's own part of the retry budget. */
     applyGrants(grants: RetryGrants): void;
@@ -252,6 +254,7 @@
         const { registry, fleetLoad, retries, notices, routerName: sender } = this.dependencies;
         const servers = this.listCorrections();
         registry.applyNotice(servers);
+        const slowdowns = this.dependencies.slowdowns.published;
         const retryGrants = retries.computeGrants();
         this.dependencies.applyGrants(retryGrants);
         notices.send(
@@ -260,6 +263,7 @@
                 servers,
                 otherLoads: fleetLoad.totalExcluding(formatSocketAddress(router)),
                 retryGrants: retries.grantsFor(formatSocketAddress(router), retryGrants),
+                slowdowns,
             }),
             (router, { loads, retryUsage }) => {
                 fleetLoad.recordRouterLoads(formatSocketAddress(router), loads);
--- a/src/request/gateway/attempt-supervisor.ts
+++ b/src/request/gateway/attempt-supervisor.ts
@@ -12,6 +12,7 @@
 import type { ServerControl } from "../../domain/gateway/server-control.js";
 import { OrderOutcome, type ServerEntry } from "../../domain/gateway/server-entry.js";
 import type { ServerExclusions } from "../../process/gateway/server-exclusions.js";
+import type { SlowdownSurvey } from "../../process/gateway/slowdown-survey.js";
 import type { LayerPathChooser } from "./layer-path-chooser.js";
 import { addressedParts, formatPath, type LayerPath, type LayerPathPart } from "./layer-path-finder.js";
 import { type PathRecoveryPolicy, RecoveryAction } from "./path-recovery-policy.js";
@@ -25,6 +26,7 @@
     readonly reachability: ReachabilityCheck;
     readonly control: ServerControl;
     readonly exclusions: ServerExclusions;
+    readonly slowdownSurvey: Pick<SlowdownSurvey, "askFor">;
     readonly failures: FailureReporter;
     readonly metrics: Metrics;
     readonly logger: Logger;
@@ -183,6 +185,7 @@
     private async checkServers(): Promise<void> {
         const checkStartedAt = monotonicNow();
         const servers = this.currentPath.parts.map(({ server }) => server);
+        this.dependencies.slowdownSurvey.askFor(servers);
         const unreachable = await this.dependencies.reachability.findUnreachable(servers);
         if (unreachable.length === 0 || this.hasProgressedSince(checkStartedAt)) {
             return;
--- a/src/request/gateway/layer-path-chooser.ts
+++ b/src/request/gateway/layer-path-chooser.ts
@@ -12,6 +12,7 @@
 import type { LayerHolder, StandbyPolicy } from "../../process/gateway/layer-placement/standby-servers.js";
 import type { ServerExclusions } from "../../process/gateway/server-exclusions.js";
 import type { ServerRegistry } from "../../process/gateway/server-registry.js";
+import type { SlowdownEstimate } from "../../process/gateway/server-slowdowns.js";
 import type {
     LayerPath,
     LayerPathFinder,
@@ -27,6 +28,8 @@
     readonly homeZone: string;
     /** How long a leaving server may be used, if there is no other, after this router learnt that it leaves. */
     readonly leavingUseMilliseconds: number;
+    /** What is known of slow engines; all count as nominal unless given. */
+    readonly slowdowns?: SlowdownEstimate;
 }
 
 export class LayerPathChooser {
@@ -180,12 +183,13 @@
         if (kind === undefined || entry.layers === undefined) {
             return undefined;
         }
+        const slowdown = this.options.slowdowns?.factor(entry.id) ?? 1;
         return {
             entry,
             layers: entry.layers,
             standby,
-            stepFactor: kind.stepFactor,
-            prefillFactor: kind.prefillFactor,
+            stepFactor: kind.stepFactor * slowdown,
+            prefillFactor: kind.prefillFactor * slowdown,
             requests: this.load.requests(entry.id),
             tokens: this.load.tokens(entry.id),
             tokenCapacity: tokensThatFit(engine, kind, layerCount(entry.layers)),
--- a/src/stand-ins/engine-fleet/simulated-engine.ts
+++ b/src/stand-ins/engine-fleet/simulated-engine.ts
@@ -8,6 +8,8 @@
     /** Requests that this engine has received as the first of their path. */
     arrivals = 0;
     lost = false;
+    /** Factor on the duration of its work. */
+    slowdown = 1;
     readonly tokenCapacity: number;
     private requests = 0;
     private tokens = 0;
@@ -48,6 +50,6 @@
         const step = stepMilliseconds + stepMillisecondsPerRequest * this.requests
             + stepMillisecondsPerThousandTokens * this.tokens / 1_000;
         const { stepFactor } = this.profile.kinds.get(this.entry.kind!)!;
-        return step * stepFactor * layerCount(layers) / this.profile.layerCount;
+        return step * stepFactor * this.slowdown * layerCount(layers) / this.profile.layerCount;
     }
 }
--- a/src/stand-ins/engine-fleet/simulated-router.ts
+++ b/src/stand-ins/engine-fleet/simulated-router.ts
@@ -10,12 +10,14 @@
 import { LocalServerLoad } from "../../process/gateway/local-server-load.js";
 import { ServerExclusions } from "../../process/gateway/server-exclusions.js";
 import type { ServerRegistry } from "../../process/gateway/server-registry.js";
+import type { SlowdownEstimate } from "../../process/gateway/server-slowdowns.js";
 import { LayerPathChooser } from "../../request/gateway/layer-path-chooser.js";
 import type { LayerPathFinder } from "../../request/gateway/layer-path-finder.js";
 
 /** The decisions of a router that a simulation compares. */
 export interface RoutingDecisions {
     readonly standbyPolicy: StandbyPolicy;
+    readonly slowdowns: SlowdownEstimate;
     createFinder(random: RandomSource): LayerPathFinder;
 }
 
@@ -38,6 +40,7 @@
         this.paths = new LayerPathChooser(registry, this, this.exclusions, finder, decisions.standbyPolicy, {
             homeZone,
             leavingUseMilliseconds: 0,
+            slowdowns: decisions.slowdowns,
         });
     }
 
--- a/test/connection/gateway/peer-client.test.ts
+++ b/test/connection/gateway/peer-client.test.ts
@@ -64,7 +64,13 @@
         };
         const sender = new HttpNoticeSender(() => [router], client, failures, new SilentLogger());
         const answersAtReports: number[] = [];
-        const createNotice = () => ({ sender: "x", servers: [], otherLoads: new Map(), retryGrants: new Map() });
+        const createNotice = () => ({
+            sender: "x",
+            servers: [],
+            otherLoads: new Map(),
+            retryGrants: new Map(),
+            slowdowns: new Map(),
+        });
         while (answersAtReports.length === 0) {
             sender.send(createNotice, () => answersAtReports.push(answered));
             await new Promise(resolve => setTimeout(resolve, 5));
--- a/test/connection/gateway/peer-notices.test.ts
+++ b/test/connection/gateway/peer-notices.test.ts
@@ -60,7 +60,13 @@
     const sender = createSender(createRouters(100));
     for (let round = 0; round < 10; round++) {
         sender.send(
-            () => ({ sender: "leader", servers: [], otherLoads: new Map(), retryGrants: new Map() }),
+            () => ({
+                sender: "leader",
+                servers: [],
+                otherLoads: new Map(),
+                retryGrants: new Map(),
+                slowdowns: new Map(),
+            }),
             () => undefined,
         );
         await pause(20);
@@ -81,7 +87,13 @@
     for (let round = 0; round < 5; round++) {
         sender.send(() => {
             received.push(round);
-            return { sender: "leader", servers: [], otherLoads: new Map(), retryGrants: new Map() };
+            return {
+                sender: "leader",
+                servers: [],
+                otherLoads: new Map(),
+                retryGrants: new Map(),
+                slowdowns: new Map(),
+            };
         }, () => undefined);
         await pause(5);
     }
@@ -104,7 +116,13 @@
     const sender = createSender(createRouters(1));
     const send = () =>
         sender.send(
-            () => ({ sender: "leader", servers: [], otherLoads: new Map(), retryGrants: new Map() }),
+            () => ({
+                sender: "leader",
+                servers: [],
+                otherLoads: new Map(),
+                retryGrants: new Map(),
+                slowdowns: new Map(),
+            }),
             () => undefined,
         );
     send();
@@ -121,6 +139,7 @@
         servers: [{ id: "a", bornAt: 1, layers: { first: 0, last: 3 }, lost: false }],
         otherLoads: new Map([["a", { requests: 2, tokens: 1_800 }]]),
         retryGrants: new Map([["pool", 1.5]]),
+        slowdowns: new Map([["a", { factor: 12, ageMilliseconds: 300 }]]),
     };
     expect(decodeNotice(encodeNotice(notice).toString())).toEqual(notice);
     const usages = new Map([["pool", { requests: 9, retries: 3, granted: 2 }]]);
@@ -128,9 +147,17 @@
     expect(decodeReport(encodeReport(report).toString())).toEqual(report);
 });
 
-test("a notice without grants is accepted, as routers of an earlier version send it", () => {
+test("a notice without grants or slow engines is accepted, as routers of an earlier version send it", () => {
     const text = JSON.stringify({ sender: "leader", servers: [], otherLoads: {} });
     expect(decodeNotice(text).retryGrants.size).toBe(0);
+    expect(decodeNotice(text).slowdowns.size).toBe(0);
+});
+
+test("odd statements on slow engines are left out, and the rest of the notice holds", () => {
+    const slowdowns = { a: [0.5, 10], b: [3, -1], c: "slow", d: [null, 0], e: [2, 100] };
+    const notice = { sender: "leader", servers: [], otherLoads: {} };
+    expect([...decodeNotice(JSON.stringify({ ...notice, slowdowns })).slowdowns.keys()]).toEqual(["e"]);
+    expect(decodeNotice(JSON.stringify({ ...notice, slowdowns: [7] })).slowdowns.size).toBe(0);
 });
 
 test.each(["{}", "[]", "not json", '{"loads":{"a":[1]},"retryUsages":{}}'])(
--- a/test/platform/gateway-fixture.ts
+++ b/test/platform/gateway-fixture.ts
@@ -209,7 +209,13 @@
         servers: PlacementNotice["servers"],
         retryGrants: PlacementNotice["retryGrants"] = new Map(),
     ): Promise<GatewayResponse> {
-        const body = encodeNotice({ sender: "leader", servers, otherLoads: new Map(), retryGrants }).toString();
+        const body = encodeNotice({
+            sender: "leader",
+            servers,
+            otherLoads: new Map(),
+            retryGrants,
+            slowdowns: new Map(),
+        }).toString();
         return sendRequest(this.gateways[0]!.peerAddress.port, "POST", noticePath, {}, body);
     }
 
--- a/test/process/gateway/placement-loop.test.ts
+++ b/test/process/gateway/placement-loop.test.ts
@@ -1,5 +1,6 @@
 import { afterEach, beforeEach, describe, expect, jest, test } from "@jest/globals";
 import { SilentLogger } from "../../../src/common/logger.js";
+import { SilentMetrics } from "../../../src/common/metrics.js";
 import type { PlacementNotice, ServerNotice } from "../../../src/domain/gateway/placement-notice.js";
 import type { ServerControl } from "../../../src/domain/gateway/server-control.js";
 import { OrderOutcome, type ServerEntry } from "../../../src/domain/gateway/server-entry.js";
@@ -14,6 +15,7 @@
 import { LocalServerLoad } from "../../../src/process/gateway/local-server-load.js";
 import { ServerExclusions } from "../../../src/process/gateway/server-exclusions.js";
 import { ServerRegistry } from "../../../src/process/gateway/server-registry.js";
+import { ServerSlowdowns } from "../../../src/process/gateway/server-slowdowns.js";
 import { failures } from "../../support/failures.js";
 import { engineProfile, gatewayConfiguration, serverEntry } from "./fixtures.js";
 
@@ -32,7 +34,7 @@
 
     async readReport({ id }: ServerEntry) {
         const { layers, ordersBegun, requests } = this.engine(id);
-        return { bornAt: 1, layers, busy: false, ordersBegun, requests };
+        return { bornAt: 1, layers, busy: false, ordersBegun, requests, slowdown: 1 };
     }
 
     async isHealthy({ id }: ServerEntry): Promise<boolean> {
@@ -117,6 +119,7 @@
         control,
         notices: { send: createNotice => notices.push(createNotice({ host: "127.0.0.1", port: 1 })) },
         fleetLoad: new FleetLoad(new LocalServerLoad(), () => 1),
+        slowdowns: new ServerSlowdowns(new SilentMetrics(), logger),
         retries: new FleetRetryBudget({
             ratio: 0,
             extra: 0,
--- a/test/request/gateway/attempt-supervisor.test.ts
+++ b/test/request/gateway/attempt-supervisor.test.ts
@@ -59,6 +59,7 @@
                 },
             } as never,
             exclusions,
+            slowdownSurvey: { askFor: () => undefined },
             failures,
             metrics: new SilentMetrics(),
             logger,
--- a/test/request/gateway/engine-fleet.test.ts
+++ b/test/request/gateway/engine-fleet.test.ts
@@ -3,6 +3,7 @@
 import { SilentLogger } from "../../../src/common/logger.js";
 import { SeededRandom } from "../../../src/common/random.js";
 import { HalfCopyStandby } from "../../../src/process/gateway/layer-placement/standby-servers.js";
+import { AlwaysNominal } from "../../../src/process/gateway/server-slowdowns.js";
 import { CheapestLayerPathFinder } from "../../../src/request/gateway/layer-path-finder.js";
 import { EngineFleetSimulation } from "../../../src/stand-ins/engine-fleet/engine-fleet-simulation.js";
 import {
@@ -26,6 +27,7 @@
         random: new SeededRandom(20261204),
         decisions: {
             standbyPolicy: new HalfCopyStandby(),
+            slowdowns: new AlwaysNominal(),
             createFinder: random => new CheapestLayerPathFinder(random),
         },
         logger: new SilentLogger(),
--- a/test/request/gateway/unsendable-requests.test.ts
+++ b/test/request/gateway/unsendable-requests.test.ts
@@ -105,6 +105,7 @@
             } as unknown as LayerPathChooser,
             registry: new ServerRegistry(1_000, new SilentLogger()),
             control: {} as ServerControl,
+            slowdownSurvey: { askFor: () => undefined },
             recoveryPolicy: new FewestZoneCrossingsPolicy(),
             firstEvents: new FirstEventLatency(),
         });
