A router without notices for a second asks for the speed of engines itself

A leader that is lost in the same disturbance in which engines turn slow left the routers without knowledge for the 2 s that a statement holds, and for as long as the next leader takes. Two missed notices now suffice.

--- a/src/process/gateway/slowdown-survey.ts
+++ b/src/process/gateway/slowdown-survey.ts
@@ -14,6 +14,7 @@
 import type { ServerControl } from "../../domain/gateway/server-control.js";
 import type { ServerEntry } from "../../domain/gateway/server-entry.js";
 import type { ActiveConfiguration } from "./active-configuration.js";
+import { noticeIntervalMilliseconds } from "./fleet-load.js";
 import type { ServerRegistry } from "./server-registry.js";
 import { type ServerSlowdowns, slowdownLifetimeMilliseconds } from "./server-slowdowns.js";
 
@@ -24,6 +25,8 @@
 const alertIntervalMilliseconds = slowdownLifetimeMilliseconds / 2;
 /** Keeps the leader's connections and processor time bounded in fleets of hundreds of engines. */
 const maximumReadsPerPass = 25;
+/** Two missed notices: a new leader takes seconds, and engines often turn slow in the same disturbance. */
+const leaderSilenceMilliseconds = 2 * noticeIntervalMilliseconds;
 /** Answers that one router without a leader awaits at the same time. */
 const maximumConcurrentOwnReads = 8;
 
@@ -66,7 +69,7 @@
     /** Asks the engines of a quiet stream, unless the leader does that, or they have been asked just before. */
     askFor(servers: readonly ServerEntry[]): void {
         const { leadership } = this.dependencies;
-        if (leadership.isLeader || monotonicNow() - this.lastNoticeAt < slowdownLifetimeMilliseconds) {
+        if (leadership.isLeader || monotonicNow() - this.lastNoticeAt < leaderSilenceMilliseconds) {
             return;
         }
         const room = maximumConcurrentOwnReads - this.pending.size;
--- a/test/process/gateway/slowdown-survey.test.ts
+++ b/test/process/gateway/slowdown-survey.test.ts
@@ -106,9 +106,13 @@
     test("leaves the questions to the leader while its notices arrive", async () => {
         survey.applyNotice(new Map([["e1", { factor: 12, ageMilliseconds: 100 }]]));
         survey.askFor([serverEntry("e1"), serverEntry("e2")]);
-        await jest.advanceTimersByTimeAsync(1_000);
+        await jest.advanceTimersByTimeAsync(900);
+        survey.askFor([serverEntry("e1"), serverEntry("e2")]);
         expect(asked).toEqual([]);
         expect(knownSlow()).toEqual(["e1"]);
+        await jest.advanceTimersByTimeAsync(200);
+        survey.askFor([serverEntry("e1"), serverEntry("e2")]);
+        expect(asked).toEqual(["e1", "e2"]);
     });
 
     test("without a leader asks the engines of quiet streams, each once a second for all streams", async () => {
