--- a/src/request/admission/fair-admission.ts
+++ b/src/request/admission/fair-admission.ts
@@ -8,9 +8,9 @@
 import { CallerGoneError, DeadlineUnreachableError, LimitExceededError, Outcome } from "../../errors/index.js";
 import type { CustomerLimits } from "../../process/customer-limits/customer-limits.js";
 import { RateMeter } from "../../process/customer-limits/rate-meter.js";
+import { FairQueue, type QueueEntry } from "../../process/customer-shares/fair-queue.js";
 import type { AdaptiveTokenLimit } from "./adaptive-token-limit.js";
 import { maximumQueuedRequests, maximumQueueMilliseconds } from "./constants.js";
-import { FairQueue, type QueueEntry } from "./fair-queue.js";
 import type { Admission, AdmissionRequest, AdmissionTicket } from "./types.js";
 import { WorkEstimates } from "./work-estimates.js";
 
--- a/test/request/admission/fair-queue.test.ts
+++ b/test/process/customer-shares/fair-queue.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, test } from "@jest/globals";
 import fastCheck from "fast-check";
-import { FairQueue } from "../../../src/request/admission/fair-queue.js";
+import { FairQueue } from "../../../src/process/customer-shares/fair-queue.js";
 
 const entry = (customer: string, weight: number, tokens: number, priority = 0) => ({
     customer,
