--- a/src/connection/gateway/peer-notices.ts
+++ b/src/connection/gateway/peer-notices.ts
@@ -3,6 +3,7 @@
 import type { FailureBoundary, FailureReporter } from "../../common/failure-boundary.js";
 import type { Logger } from "../../common/logger.js";
 import type {
+    ByCustomer,
     NoticeSender,
     PlacementNotice,
     ReportListener,
@@ -33,6 +34,14 @@
 const layersSchema = z.object({ first: layerIndex(), last: layerIndex() })
     .check(z.refine(({ first, last }) => first <= last));
 
+/** Far more than a router of any size reports or limits at a time. */
+const maximumCustomersInMessage = 256;
+const byCustomer = <Value extends z.ZodMiniType>(value: Value) =>
+    z.record(z.string(), z.record(z.string(), value)).check(z.refine(
+        services => sizeOf(services) <= maximumCustomersInMessage,
+        `at most ${maximumCustomersInMessage} customers`,
+    ));
+
 const noticeSchema = z.object({
     sender: z.string(),
     servers: z.array(z.object({
@@ -44,6 +53,8 @@
     otherLoads: loadsSchema,
     /** Missing in notices of routers before the shared retry budget. */
     retryGrants: z.optional(z.record(z.string(), quantity())),
+    /** Missing in notices without new limits, as in those of earlier routers. */
+    customerLimits: z.optional(byCustomer(z.number().check(z.minimum(0), z.maximum(1)))),
 });
 
 const reportSchema = z.object({
@@ -58,45 +69,55 @@
         }),
     ),
     recordedMilliseconds: z.optional(quantity()),
+    /** Tokens asked for and taken. Missing in reports without new demand, as in those of earlier routers. */
+    customerDemands: z.optional(byCustomer(z.tuple([quantity(), quantity()]))),
 });
 
-export function encodeNotice({ sender, servers, otherLoads, retryGrants }: PlacementNotice): Buffer {
+export function encodeNotice(notice: PlacementNotice): Buffer {
+    const { sender, servers, otherLoads, retryGrants, customerLimits } = notice;
     return Buffer.from(JSON.stringify({
         sender,
         servers,
         otherLoads: formatLoads(otherLoads),
         retryGrants: Object.fromEntries(retryGrants),
+        customerLimits: customerLimits && formatByCustomer(customerLimits, limit => limit),
     }));
 }
 
 /** Throws InvalidPeerMessageError if the text is not a valid placement notice. */
 export function decodeNotice(text: string): PlacementNotice {
-    const { sender, servers, otherLoads, retryGrants } = parsePeerMessage("placement notice", noticeSchema, text);
+    const notice = parsePeerMessage("placement notice", noticeSchema, text);
+    const { sender, servers, otherLoads, retryGrants, customerLimits } = notice;
     return {
         sender,
         servers: servers.map(({ id, bornAt, layers, lost }) => ({ id, bornAt, layers, lost })),
         otherLoads: parseLoads(otherLoads),
         retryGrants: new Map(Object.entries(retryGrants ?? {})),
+        customerLimits: customerLimits && parseByCustomer(customerLimits, limit => limit),
     };
 }
 
-export function encodeReport({ loads, retryUsage }: RouterReport): Buffer {
+export function encodeReport({ loads, retryUsage, customerDemands }: RouterReport): Buffer {
     return Buffer.from(JSON.stringify({
         loads: formatLoads(loads),
         retryUsages: Object.fromEntries(retryUsage.usages),
         recordedMilliseconds: retryUsage.recordedMilliseconds,
+        customerDemands: customerDemands && formatByCustomer(customerDemands, ({ asked, taken }) => [asked, taken]),
     }));
 }
 
 /** Throws InvalidPeerMessageError if the text is not a valid report. */
 export function decodeReport(text: string): RouterReport {
-    const { loads, retryUsages, recordedMilliseconds } = parsePeerMessage("report of a router", reportSchema, text);
+    const report = parsePeerMessage("report of a router", reportSchema, text);
+    const { loads, retryUsages, recordedMilliseconds, customerDemands } = report;
     const usages = Object.entries(retryUsages).map(([service, { requests, retries, granted }]) =>
         [service, { requests, retries, granted: granted ?? retries }] as const
     );
     return {
         loads: parseLoads(loads),
         retryUsage: { usages: new Map(usages), recordedMilliseconds: recordedMilliseconds ?? 0 },
+        customerDemands: customerDemands
+            && parseByCustomer(customerDemands, ([asked, taken]) => ({ asked, taken })),
     };
 }
 
@@ -182,3 +203,29 @@
         Object.entries(loads).map(([id, [requests, tokens]]) => [id, { requests, tokens: Math.max(0, tokens) }]),
     );
 }
+
+function sizeOf(services: Readonly<Record<string, object>>): number {
+    return Object.values(services).reduce((sum, customers) => sum + Object.keys(customers).length, 0);
+}
+
+function formatByCustomer<Value, Formatted>(
+    services: ByCustomer<Value>,
+    format: (value: Value) => Formatted,
+): Record<string, Record<string, Formatted>> {
+    return Object.fromEntries([...services].map(([service, customers]) => [
+        service,
+        Object.fromEntries([...customers].map(([customer, value]) => [customer, format(value)])),
+    ]));
+}
+
+function parseByCustomer<Value, Parsed>(
+    services: Readonly<Record<string, Readonly<Record<string, Value>>>>,
+    parse: (value: Value) => Parsed,
+): ByCustomer<Parsed> {
+    return new Map(
+        Object.entries(services).map(([service, customers]) => [
+            service,
+            new Map(Object.entries(customers).map(([customer, value]) => [customer, parse(value)])),
+        ]),
+    );
+}
--- a/src/domain/gateway/placement-notice.ts
+++ b/src/domain/gateway/placement-notice.ts
@@ -44,10 +44,23 @@
 /** Retries that a router may make until the next notice, keyed by service; fractions are chances of one more. */
 export type RetryGrants = ReadonlyMap<string, number>;
 
+/** Prompt tokens and expected output tokens of a customer's requests. */
+export interface CustomerDemand {
+    /** Of all requests, repeated tries of the customer's clients included. */
+    readonly asked: number;
+    /** Of the requests that were sent to backend servers. */
+    readonly taken: number;
+}
+
+/** Values by service and customer. Requests without a customer form a group with an empty name. */
+export type ByCustomer<Value> = ReadonlyMap<string, ReadonlyMap<string, Value>>;
+
 /** What a router reports in response to a notice. */
 export interface RouterReport {
     readonly loads: ServerLoads;
     readonly retryUsage: RetryUsageReport;
+    /** What was added since the router's last report; undefined if nothing is to be reported. */
+    readonly customerDemands?: ByCustomer<CustomerDemand> | undefined;
 }
 
 export interface PlacementNotice {
@@ -56,6 +69,11 @@
     /** Total load of all routers except the receiver. */
     readonly otherLoads: ServerLoads;
     readonly retryGrants: RetryGrants;
+    /**
+     * Customers that ask for more than their share of short room, with the part of their demand that may take room, 0 to 1.
+     * Undefined leaves the last limits in force.
+     */
+    readonly customerLimits?: ByCustomer<number> | undefined;
 }
 
 export interface NoticeSender {
--- a/test/connection/gateway/odd-messages.test.ts
+++ b/test/connection/gateway/odd-messages.test.ts
@@ -12,12 +12,17 @@
     servers: [{ id: "a", bornAt: 1, layers: { first: 0, last: 3 }, lost: false }],
     otherLoads: { a: [2, 1_800] },
     retryGrants: { pool: 1.5 },
+    customerLimits: { pool: { haddow: 0.4 } },
 };
 const soundReport = {
     loads: { a: [2, 1_800] },
     retryUsages: { pool: { requests: 9, retries: 3, granted: 2 } },
     recordedMilliseconds: 20_000,
+    customerDemands: { pool: { haddow: [900, 0] } },
 };
+const thousandsOfCustomers = (value: unknown) => ({
+    pool: Object.fromEntries(Array.from({ length: 3_000 }, (_unused, index) => [`customer-${index}`, value])),
+});
 const soundOffer = { leaseId: 7, holder: "edge-1/x", renewedMillisecondsAgo: 1_500.5 };
 const soundSnapshot = { storeRevision: 9, items: [{ key: "op/config", value: "e30=", revision: 4 }] };
 
@@ -47,6 +52,10 @@
         { retryGrants: { pool: -1 } },
         { retryGrants: { pool: 1e300 } },
         { retryGrants: { pool: "HUGE" } },
+        { customerLimits: { pool: { haddow: -0.1 } } },
+        { customerLimits: { pool: { haddow: 1.1 } } },
+        { customerLimits: { pool: { haddow: "HUGE" } } },
+        { customerLimits: { pool: 0.4 } },
     ])("as a notice with %j", changes => {
         expect(() => decodeNotice(changed(soundNotice, changes))).toThrow(InvalidPeerMessageError);
     });
@@ -59,6 +68,11 @@
         { retryUsages: { pool: { requests: 1, retries: 1.5 } } },
         { retryUsages: { pool: { requests: 1, retries: 1, granted: -1 } } },
         { recordedMilliseconds: -1 },
+        { customerDemands: { pool: { haddow: [-1, 0] } } },
+        { customerDemands: { pool: { haddow: [1] } } },
+        { customerDemands: { pool: { haddow: ["HUGE", 0] } } },
+        { customerDemands: { pool: { haddow: [0, 1e300] } } },
+        { customerDemands: [] },
     ])("as a report with %j", changes => {
         expect(() => decodeReport(changed(soundReport, changes))).toThrow(InvalidPeerMessageError);
     });
@@ -82,6 +96,13 @@
         expect(() => decodeSnapshot(changed(soundSnapshot, changes))).toThrow(InvalidPeerMessageError);
     });
 
+    test("with thousands of customers", () => {
+        const notice = changed(soundNotice, { customerLimits: thousandsOfCustomers(0.5) });
+        expect(() => decodeNotice(notice)).toThrow(InvalidPeerMessageError);
+        const report = changed(soundReport, { customerDemands: thousandsOfCustomers([1, 1]) });
+        expect(() => decodeReport(report)).toThrow(InvalidPeerMessageError);
+    });
+
     test("as a notice without bytes that can be read", () => {
         expect(() => decodeNotice("\ufffd")).toThrow(InvalidPeerMessageError);
     });
@@ -125,17 +146,29 @@
     expectDecoded(
         soundNotice,
         decodeNotice,
-        ({ servers, otherLoads, retryGrants }) =>
+        ({ servers, otherLoads, retryGrants, customerLimits }) =>
             servers.every(({ bornAt, layers }) =>
                 isWhole(bornAt) && (layers === undefined
                     || (isWhole(layers.first) && layers.first <= layers.last && layers.last < 10_000))
             )
             && [...otherLoads.values()].every(isUsable)
-            && [...retryGrants.values()].every(grant => grant >= 0 && grant <= 1e12),
+            && [...retryGrants.values()].every(grant => grant >= 0 && grant <= 1e12)
+            && [...customerLimits?.values() ?? []].every(limits =>
+                [...limits.values()].every(part => part >= 0 && part <= 1)
+            ),
+    );
+    expectDecoded(
+        soundReport,
+        decodeReport,
+        ({ loads, retryUsage, customerDemands }) =>
+            [...loads.values()].every(isUsable)
+            && [...retryUsage.usages.values()].every(({ requests, retries }) => isWhole(requests) && isWhole(retries))
+            && [...customerDemands?.values() ?? []].every(demands =>
+                [...demands.values()].every(({ asked, taken }) =>
+                    asked >= 0 && asked <= 1e12 && taken >= 0 && taken <= 1e12
+                )
+            ),
     );
-    expectDecoded(soundReport, decodeReport, ({ loads, retryUsage }) =>
-        [...loads.values()].every(isUsable)
-        && [...retryUsage.usages.values()].every(({ requests, retries }) => isWhole(requests) && isWhole(retries)));
     expectDecoded(
         soundOffer,
         decodeOffer,
--- a/test/connection/gateway/peer-notices.test.ts
+++ b/test/connection/gateway/peer-notices.test.ts
@@ -121,16 +121,21 @@
         servers: [{ id: "a", bornAt: 1, layers: { first: 0, last: 3 }, lost: false }],
         otherLoads: new Map([["a", { requests: 2, tokens: 1_800 }]]),
         retryGrants: new Map([["pool", 1.5]]),
+        customerLimits: new Map([["pool", new Map([["haddow", 0.42], ["", 0.9]])]]),
     };
     expect(decodeNotice(encodeNotice(notice).toString())).toEqual(notice);
     const usages = new Map([["pool", { requests: 9, retries: 3, granted: 2 }]]);
-    const report = { loads: notice.otherLoads, retryUsage: { usages, recordedMilliseconds: 4_000 } };
+    const customerDemands = new Map([["pool", new Map([["haddow", { asked: 1_800, taken: 900 }]])]]);
+    const retryUsage = { usages, recordedMilliseconds: 4_000 };
+    const report = { loads: notice.otherLoads, retryUsage, customerDemands };
     expect(decodeReport(encodeReport(report).toString())).toEqual(report);
 });
 
 test("a notice without grants is accepted, as routers of an earlier version send it", () => {
     const text = JSON.stringify({ sender: "leader", servers: [], otherLoads: {} });
     expect(decodeNotice(text).retryGrants.size).toBe(0);
+    expect(decodeNotice(text).customerLimits).toBeUndefined();
+    expect(decodeReport('{"loads":{},"retryUsages":{}}').customerDemands).toBeUndefined();
 });
 
 test.each(["{}", "[]", "not json", '{"loads":{"a":[1]},"retryUsages":{}}'])(
