--- a/test/connection/gateway/peer-notices.test.ts
+++ b/test/connection/gateway/peer-notices.test.ts
@@ -147,17 +147,22 @@
         otherLoads: new Map([["a", { requests: 2, tokens: 1_800 }]]),
         retryGrants: new Map([["pool", 1.5]]),
         slowdowns: new Map([["a", { factor: 12, ageMilliseconds: 300 }]]),
+        customerLimits: new Map([["pool", new Map([["haddow", 0.42], ["", 0.9]])]]),
     };
     expect(decodeNotice(encodeNotice(notice).toString())).toEqual(notice);
     const usages = new Map([["pool", { requests: 9, retries: 3, granted: 2 }]]);
-    const report = { loads: notice.otherLoads, retryUsage: { usages, recordedMilliseconds: 4_000 } };
+    const customerDemands = new Map([["pool", new Map([["haddow", { asked: 1_800, taken: 900 }]])]]);
+    const retryUsage = { usages, recordedMilliseconds: 4_000 };
+    const report = { loads: notice.otherLoads, retryUsage, customerDemands };
     expect(decodeReport(encodeReport(report).toString())).toEqual(report);
 });
 
-test("a notice without grants or slow engines is accepted, as routers of an earlier version send it", () => {
+test("a notice without grants, slow engines or limits is accepted, as routers of an earlier version send it", () => {
     const text = JSON.stringify({ sender: "leader", servers: [], otherLoads: {} });
     expect(decodeNotice(text).retryGrants.size).toBe(0);
     expect(decodeNotice(text).slowdowns.size).toBe(0);
+    expect(decodeNotice(text).customerLimits).toBeUndefined();
+    expect(decodeReport('{"loads":{},"retryUsages":{}}').customerDemands).toBeUndefined();
 });
 
 test("odd statements on slow engines are left out, and the rest of the notice holds", () => {
