Count running requests by what is left of them

A running request counted with the same tokens from its begin to its end, and plain servers were compared by counts of requests, which say the same of a server that has turned slow and of one with expensive requests.

A stream now counts with its prompt and the output that its progress makes likely. The run time that plain requests have left travels in reports and notices (optional fields work and otherWork), and LeastWorkPolicy takes the one of two servers that should end the request first; TwoChoicesPolicy stays as the baseline. The handler of streams reads its cost from one place, StreamCost.

--- a/src/connection/gateway/peer-notices.ts
+++ b/src/connection/gateway/peer-notices.ts
@@ -8,6 +8,7 @@
     ReportListener,
     RouterReport,
     ServerLoads,
+    WorkLeft,
 } from "../../domain/gateway/placement-notice.js";
 import { formatSocketAddress, type SocketAddress } from "../../domain/gateway/server-entry.js";
 import { maximumLayerCount } from "../../domain/layers.js";
@@ -29,6 +30,9 @@
 /** Request count and token count, keyed by the ID of the backend server. */
 const loadsSchema = z.record(z.string(), z.tuple([wholeNumber(), quantity(-maximumResidue)]));
 
+/** Milliseconds, keyed by the ID of the backend server; missing in messages of routers that report only counts. */
+const workSchema = z.optional(z.record(z.string(), quantity(-maximumResidue)));
+
 const layerIndex = () => wholeNumber(maximumLayerCount - 1);
 const layersSchema = z.object({ first: layerIndex(), last: layerIndex() })
     .check(z.refine(({ first, last }) => first <= last));
@@ -42,12 +46,14 @@
         lost: z.boolean(),
     })),
     otherLoads: loadsSchema,
+    otherWork: workSchema,
     /** Missing in notices of routers before the shared retry budget. */
     retryGrants: z.optional(z.record(z.string(), quantity())),
 });
 
 const reportSchema = z.object({
     loads: loadsSchema,
+    work: workSchema,
     retryUsages: z.record(
         z.string(),
         z.object({
@@ -60,29 +66,36 @@
     recordedMilliseconds: z.optional(quantity()),
 });
 
-export function encodeNotice({ sender, servers, otherLoads, retryGrants }: PlacementNotice): Buffer {
+export function encodeNotice({ sender, servers, otherLoads, otherWork, retryGrants }: PlacementNotice): Buffer {
     return Buffer.from(JSON.stringify({
         sender,
         servers,
         otherLoads: formatLoads(otherLoads),
+        otherWork: formatWork(otherWork),
         retryGrants: Object.fromEntries(retryGrants),
     }));
 }
 
 /** Throws InvalidPeerMessageError if the text is not a valid placement notice. */
 export function decodeNotice(text: string): PlacementNotice {
-    const { sender, servers, otherLoads, retryGrants } = parsePeerMessage("placement notice", noticeSchema, text);
+    const { sender, servers, otherLoads, otherWork, retryGrants } = parsePeerMessage(
+        "placement notice",
+        noticeSchema,
+        text,
+    );
     return {
         sender,
         servers: servers.map(({ id, bornAt, layers, lost }) => ({ id, bornAt, layers, lost })),
         otherLoads: parseLoads(otherLoads),
+        otherWork: parseWork(otherWork),
         retryGrants: new Map(Object.entries(retryGrants ?? {})),
     };
 }
 
-export function encodeReport({ loads, retryUsage }: RouterReport): Buffer {
+export function encodeReport({ loads, work, retryUsage }: RouterReport): Buffer {
     return Buffer.from(JSON.stringify({
         loads: formatLoads(loads),
+        work: formatWork(work),
         retryUsages: Object.fromEntries(retryUsage.usages),
         recordedMilliseconds: retryUsage.recordedMilliseconds,
     }));
@@ -90,12 +103,17 @@
 
 /** Throws InvalidPeerMessageError if the text is not a valid report. */
 export function decodeReport(text: string): RouterReport {
-    const { loads, retryUsages, recordedMilliseconds } = parsePeerMessage("report of a router", reportSchema, text);
+    const { loads, work, retryUsages, recordedMilliseconds } = parsePeerMessage(
+        "report of a router",
+        reportSchema,
+        text,
+    );
     const usages = Object.entries(retryUsages).map(([service, { requests, retries, granted }]) =>
         [service, { requests, retries, granted: granted ?? retries }] as const
     );
     return {
         loads: parseLoads(loads),
+        work: parseWork(work),
         retryUsage: { usages: new Map(usages), recordedMilliseconds: recordedMilliseconds ?? 0 },
     };
 }
@@ -182,3 +200,13 @@
         Object.entries(loads).map(([id, [requests, tokens]]) => [id, { requests, tokens: Math.max(0, tokens) }]),
     );
 }
+
+function formatWork(work: WorkLeft | undefined): Record<string, number> | undefined {
+    return work === undefined || work.size === 0
+        ? undefined
+        : Object.fromEntries([...work].map(([id, milliseconds]) => [id, Math.round(milliseconds)]));
+}
+
+function parseWork(work: z.infer<typeof workSchema>): WorkLeft | undefined {
+    return work && new Map(Object.entries(work).map(([id, milliseconds]) => [id, Math.max(0, milliseconds)]));
+}
--- a/src/daemon/gateway/gateway.ts
+++ b/src/daemon/gateway/gateway.ts
@@ -139,9 +139,9 @@
         const peers = createPeerServer({
             receiveNotice: notice => {
                 registry.applyNotice(notice.servers);
-                fleetLoad.applyOtherLoads(notice.otherLoads);
+                fleetLoad.applyOtherLoads(notice.otherLoads, notice.otherWork);
                 retries.applyGrants(notice.retryGrants);
-                return { loads: fleetLoad.localLoads, retryUsage: retries.report };
+                return { loads: fleetLoad.localLoads, work: fleetLoad.localWork, retryUsage: retries.report };
             },
             acceptLeadership: offer => leadership.adopt(offer),
             snapshotAfter: revision => storeCache.snapshotAfter(revision),
--- a/src/daemon/gateway/request-path.ts
+++ b/src/daemon/gateway/request-path.ts
@@ -18,13 +18,14 @@
 import type { GatewaySettings } from "../../process/gateway/settings.js";
 import type { ShutdownGrace } from "../../process/gateway/shutdown-grace.js";
 import { WindowedRetryBudget } from "../../process/gateway/windowed-retry-budget.js";
+import { LearnedRequestCosts } from "../../process/request-costs/learned-request-costs.js";
 import { GatewayHandler } from "../../request/gateway/gateway-handler.js";
 import { GatewayHeaders } from "../../request/gateway/headers.js";
 import { LayerPathChooser } from "../../request/gateway/layer-path-chooser.js";
 import { CheapestLayerPathFinder } from "../../request/gateway/layer-path-finder.js";
 import { FewestZoneCrossingsPolicy } from "../../request/gateway/path-recovery-policy.js";
 import { PlainForwarder } from "../../request/gateway/plain-forwarder.js";
-import { PreferredServerChooser, TwoChoicesPolicy } from "../../request/gateway/plain-server-chooser.js";
+import { LeastWorkPolicy, PreferredServerChooser } from "../../request/gateway/plain-server-chooser.js";
 import { SpreadRetryAdvice } from "../../request/gateway/retry-advice.js";
 import { StreamForwarder } from "../../request/gateway/stream-forwarder.js";
 import type { GatewayConfigurationIndex } from "../../version/gateway/gateway-configuration-index.js";
@@ -59,6 +60,7 @@
     const { dialect } = options.platform;
     const { registry, routers, leavingUseMilliseconds } = state;
     const load = new LocalServerLoad();
+    const costs = new LearnedRequestCosts();
     const exclusions = new ServerExclusions(logger.withLabel("suspicions"));
     const responseObserver = new ServerAnnouncements(
         dialect.headers,
@@ -85,6 +87,7 @@
         dialect,
         headers: new GatewayHeaders(dialect),
         load,
+        costs,
         exclusions,
         quarantine: state.quarantine,
         reachability,
@@ -96,7 +99,7 @@
         metrics,
         logger: logger.withLabel("request"),
     };
-    const plainPolicy = new TwoChoicesPolicy(fleetLoad, random);
+    const plainPolicy = new LeastWorkPolicy(fleetLoad, costs, random);
     const servers = new PreferredServerChooser(registry, exclusions, plainPolicy, leavingUseMilliseconds);
     const handler = new GatewayHandler({
         dialect,
--- a/src/domain/gateway/configuration.ts
+++ b/src/domain/gateway/configuration.ts
@@ -82,6 +82,8 @@
     readonly typicalPromptTokens: number;
     /** Typical output length, in tokens. */
     readonly typicalOutputTokens: number;
+    /** Output tokens that one event of a stream holds. */
+    readonly tokensPerEvent: number;
     /** Delay of the engines' reports behind their actual state. */
     readonly reportLagMilliseconds: number;
     readonly kinds: ReadonlyMap<string, AcceleratorKind>;
--- a/src/domain/gateway/dialect.ts
+++ b/src/domain/gateway/dialect.ts
@@ -49,6 +49,8 @@
     readonly headers: HeaderNames;
     formatLayerPath(path: readonly PathPart[]): string;
     parseTokenCounts(value: string | undefined): TokenCounts | undefined;
+    /** Returns undefined unless the value is a positive number of tokens. */
+    parseLengthHint(value: string | undefined): number | undefined;
     /**
      * IDs of the prompt's parts that other requests may share, in the prompt's order and in lower case; none if the value
      * is malformed.
--- a/src/domain/gateway/placement-notice.ts
+++ b/src/domain/gateway/placement-notice.ts
@@ -25,6 +25,9 @@
 /** Keyed by backend server ID. */
 export type ServerLoads = ReadonlyMap<string, RunningLoad>;
 
+/** Run time in milliseconds that the running plain requests on each server are expected to need yet, by its ID. */
+export type WorkLeft = ReadonlyMap<string, number>;
+
 /** What one router has sent to one service in the current window of the retry budget. */
 export interface RetryUsage {
     readonly requests: number;
@@ -47,6 +50,8 @@
 /** What a router reports in response to a notice. */
 export interface RouterReport {
     readonly loads: ServerLoads;
+    /** Missing in reports of routers that report only counts. */
+    readonly work?: WorkLeft;
     readonly retryUsage: RetryUsageReport;
 }
 
@@ -55,6 +60,8 @@
     readonly servers: readonly ServerNotice[];
     /** Total load of all routers except the receiver. */
     readonly otherLoads: ServerLoads;
+    /** Work left of all routers except the receiver. */
+    readonly otherWork?: WorkLeft;
     readonly retryGrants: RetryGrants;
 }
 
--- a/src/process/gateway/fleet-load.ts
+++ b/src/process/gateway/fleet-load.ts
@@ -4,7 +4,7 @@
  * router the sum of the other routers' loads.
  */
 import { monotonicNow } from "../../common/clock.js";
-import type { RunningLoad, ServerLoads } from "../../domain/gateway/placement-notice.js";
+import type { RunningLoad, ServerLoads, WorkLeft } from "../../domain/gateway/placement-notice.js";
 import type { LocalServerLoad } from "./local-server-load.js";
 
 /** Interval at which the placement leader sends the loads to the other routers while nothing else changes. */
@@ -17,8 +17,14 @@
     tokens(serverId: string): number;
 }
 
+/** Work that running plain requests have left. */
+export interface WorkLeftEstimate {
+    /** Run time in milliseconds that the requests on the server are expected to need yet. */
+    workMilliseconds(serverId: string): number;
+}
+
 /** Multiplies this router's load by the number of routers; used while no recent placement notice is available. */
-export class ExtrapolatedLoad implements LoadEstimate {
+export class ExtrapolatedLoad implements LoadEstimate, WorkLeftEstimate {
     constructor(private readonly localLoad: LocalServerLoad, private readonly routerCount: () => number) {}
 
     requests(serverId: string): number {
@@ -28,17 +34,24 @@
     tokens(serverId: string): number {
         return this.localLoad.tokens(serverId) * this.routerCount();
     }
+
+    workMilliseconds(serverId: string): number {
+        return this.localLoad.workMilliseconds(serverId) * this.routerCount();
+    }
 }
 
 interface TimestampedLoads {
     readonly loads: ServerLoads;
+    readonly work: WorkLeft;
     readonly receivedAt: number;
 }
 
 /** Four missed notices. Streams last a few seconds, so older figures no longer describe the load. */
 const maximumAgeMilliseconds = 4 * noticeIntervalMilliseconds;
 
-export class FleetLoad implements LoadEstimate {
+const noWork: WorkLeft = new Map();
+
+export class FleetLoad implements LoadEstimate, WorkLeftEstimate {
     private otherLoads: TimestampedLoads | undefined;
     /** Load of each other router, by its address, oldest report first; filled on the placement leader only. */
     private readonly loadsByRouter = new Map<string, TimestampedLoads>();
@@ -47,6 +60,8 @@
      * cost time proportional to the square of the number of routers.
      */
     private readonly reportedTotal = new Map<string, RunningLoad>();
+    /** Likewise for the work left. */
+    private readonly reportedWork = new Map<string, number>();
     private readonly extrapolated: ExtrapolatedLoad;
 
     constructor(private readonly localLoad: LocalServerLoad, routerCount: () => number) {
@@ -57,14 +72,21 @@
         const others = this.unexpiredOtherLoads();
         return others === undefined
             ? this.extrapolated.requests(serverId)
-            : this.localLoad.requests(serverId) + (others.get(serverId)?.requests ?? 0);
+            : this.localLoad.requests(serverId) + (others.loads.get(serverId)?.requests ?? 0);
     }
 
     tokens(serverId: string): number {
         const others = this.unexpiredOtherLoads();
         return others === undefined
             ? this.extrapolated.tokens(serverId)
-            : this.localLoad.tokens(serverId) + (others.get(serverId)?.tokens ?? 0);
+            : this.localLoad.tokens(serverId) + (others.loads.get(serverId)?.tokens ?? 0);
+    }
+
+    workMilliseconds(serverId: string): number {
+        const others = this.unexpiredOtherLoads();
+        return others === undefined
+            ? this.extrapolated.workMilliseconds(serverId)
+            : this.localLoad.workMilliseconds(serverId) + (others.work.get(serverId) ?? 0);
     }
 
     /** This router's load on each backend server. */
@@ -72,18 +94,24 @@
         return this.localLoad.all;
     }
 
+    /** Work left of this router's plain requests on each backend server. */
+    get localWork(): WorkLeft {
+        return this.localLoad.allWork;
+    }
+
     /** Replaces the total load of all other routers. */
-    applyOtherLoads(loads: ServerLoads): void {
-        this.otherLoads = { loads, receivedAt: monotonicNow() };
+    applyOtherLoads(loads: ServerLoads, work: WorkLeft = noWork): void {
+        this.otherLoads = { loads, work, receivedAt: monotonicNow() };
     }
 
     /** Records the load that another router reported to this router, the placement leader. */
-    recordRouterLoads(router: string, loads: ServerLoads): void {
+    recordRouterLoads(router: string, loads: ServerLoads, work: WorkLeft = noWork): void {
         this.removeExpiredReports();
         this.removeReport(router);
-        this.loadsByRouter.set(router, { loads, receivedAt: monotonicNow() });
+        this.loadsByRouter.set(router, { loads, work, receivedAt: monotonicNow() });
         addLoads(this.reportedTotal, loads, 1);
-        this.applyOtherLoads(this.reportedTotal);
+        addWork(this.reportedWork, work, 1);
+        this.applyOtherLoads(this.reportedTotal, this.reportedWork);
     }
 
     /** Total load of all routers except the given one, from unexpired reports and this router's own load. */
@@ -95,9 +123,18 @@
         return total;
     }
 
-    private unexpiredOtherLoads(): ServerLoads | undefined {
+    /** Work left of all routers except the given one. */
+    workExcluding(router: string): WorkLeft {
+        this.removeExpiredReports();
+        const total = new Map(this.reportedWork);
+        addWork(total, this.localWork, 1);
+        addWork(total, this.loadsByRouter.get(router)?.work ?? noWork, -1);
+        return total;
+    }
+
+    private unexpiredOtherLoads(): TimestampedLoads | undefined {
         return this.otherLoads !== undefined && monotonicNow() - this.otherLoads.receivedAt < maximumAgeMilliseconds
-            ? this.otherLoads.loads
+            ? this.otherLoads
             : undefined;
     }
 
@@ -113,6 +150,7 @@
 
     private removeReport(router: string): void {
         addLoads(this.reportedTotal, this.loadsByRouter.get(router)?.loads ?? new Map(), -1);
+        addWork(this.reportedWork, this.loadsByRouter.get(router)?.work ?? noWork, -1);
         this.loadsByRouter.delete(router);
     }
 }
@@ -133,3 +171,19 @@
         }
     }
 }
+
+/** Sums that are smaller than this are rounding errors. */
+const negligibleMilliseconds = 1e-3;
+
+/** Adds the work to the total, or subtracts it if the sign is -1. */
+function addWork(total: Map<string, number>, work: WorkLeft, sign: 1 | -1): void {
+    for (const [id, milliseconds] of work) {
+        const sum = (total.get(id) ?? 0) + sign * milliseconds;
+        if (sum <= negligibleMilliseconds) {
+            total.delete(id);
+        }
+        else {
+            total.set(id, sum);
+        }
+    }
+}
--- a/src/process/gateway/layer-placement/placement-loop.ts
+++ b/src/process/gateway/layer-placement/placement-loop.ts
@@ -259,10 +259,11 @@
                 sender,
                 servers,
                 otherLoads: fleetLoad.totalExcluding(formatSocketAddress(router)),
+                otherWork: fleetLoad.workExcluding(formatSocketAddress(router)),
                 retryGrants: retries.grantsFor(formatSocketAddress(router), retryGrants),
             }),
-            (router, { loads, retryUsage }) => {
-                fleetLoad.recordRouterLoads(formatSocketAddress(router), loads);
+            (router, { loads, work, retryUsage }) => {
+                fleetLoad.recordRouterLoads(formatSocketAddress(router), loads, work);
                 retries.recordReport(formatSocketAddress(router), retryUsage);
             },
         );
--- a/src/request/gateway/gateway-handler.ts
+++ b/src/request/gateway/gateway-handler.ts
@@ -248,6 +248,8 @@
             customer: customer?.name,
             priority: Math.min(leastUrgentPriority, customer?.priority ?? route.priority),
             tokens: this.dependencies.dialect.parseTokenCounts(headerText(message, headers.tokenCounts)),
+            lengthHint: this.dependencies.dialect.parseLengthHint(headerText(message, headers.lengthHint)),
+            resumesStream: headerText(message, headers.lastEventId) !== undefined,
             sharedPromptParts: this.dependencies.dialect.parseSharedPromptParts(
                 headerText(message, headers.promptParts),
             ),
--- a/src/request/gateway/layer-path-costs.ts
+++ b/src/request/gateway/layer-path-costs.ts
@@ -72,7 +72,7 @@
     random: RandomSource,
 ): ServerCost[][] {
     const zones = new Map<string, { readonly factor: number; readonly members: ServerCost[]; }>();
-    const arriving = estimateArrivingTokens(servers, engine, size);
+    const arriving = estimateArrivingTokens(servers, engine);
     for (const server of servers) {
         const { availabilityZone } = server.entry;
         let zone = zones.get(availabilityZone);
@@ -98,7 +98,7 @@
  * arrive as end, so the share of the running tokens that arrives is the interval's share of a request's duration on the
  * servers that run them.
  */
-function estimateArrivingTokens(servers: readonly PathServer[], engine: EngineProfile, size: RequestSize): number {
+function estimateArrivingTokens(servers: readonly PathServer[], engine: EngineProfile): number {
     let layerTokens = 0;
     let stepMilliseconds = 0;
     for (const server of servers) {
@@ -109,7 +109,7 @@
     if (layerTokens <= 0) {
         return 0;
     }
-    const durationMilliseconds = size.outputTokens * stepMilliseconds / layerTokens;
+    const durationMilliseconds = engine.typicalOutputTokens * stepMilliseconds / layerTokens;
     return (layerTokens / engine.layerCount) * Math.min(1, noticeIntervalMilliseconds / durationMilliseconds);
 }
 
--- a/src/request/gateway/layer-path-finder.ts
+++ b/src/request/gateway/layer-path-finder.ts
@@ -34,6 +34,8 @@
 export interface RequestSize {
     readonly promptTokens: number;
     readonly outputTokens: number;
+    /** Output tokens that nine in ten such requests do not exceed; the expected ones if unknown. */
+    readonly upperOutputTokens?: number;
 }
 
 /** A pipeline stage: a backend server and the layers that it computes for the request. */
--- a/src/request/gateway/plain-forwarder.ts
+++ b/src/request/gateway/plain-forwarder.ts
@@ -27,6 +27,7 @@
 import type { ServerExclusions } from "../../process/gateway/server-exclusions.js";
 import type { ShutdownGrace } from "../../process/gateway/shutdown-grace.js";
 import type { WindowedRetryBudget } from "../../process/gateway/windowed-retry-budget.js";
+import type { RequestCostEstimator, RequestOrigin } from "../../process/request-costs/types.js";
 import type { CallerResponse } from "./caller-response.js";
 import { CrashGuard, type CrashGuardDependencies, refuseBlockedPrompt } from "./crash-guard.js";
 import { hasPassed } from "./deadline.js";
@@ -42,6 +43,7 @@
     readonly headers: GatewayHeaders;
     readonly servers: PlainServerChooser;
     readonly load: LocalServerLoad;
+    readonly costs: RequestCostEstimator;
     readonly exclusions: ServerExclusions;
     readonly retries: WindowedRetryBudget;
     readonly retryAdvice: RetryAdvice;
@@ -69,6 +71,8 @@
         readonly reason: string;
         /** Whether the attempt ended before the server could be at fault. */
         readonly endedByGateway: boolean;
+        /** Whether the request was given up while the server may still have been running it. */
+        readonly abandoned?: boolean;
     };
 
 /** Failures that say nothing about the server. */
@@ -79,6 +83,11 @@
     ConnectionFailure.internal,
 ]);
 
+const abandonments: ReadonlySet<ConnectionFailure> = new Set([
+    ConnectionFailure.cancelled,
+    ConnectionFailure.expired,
+]);
+
 export class PlainForwarder {
     constructor(private readonly dependencies: PlainForwarderDependencies) {}
 
@@ -145,7 +154,9 @@
 
     private async attempt(request: GatewayRequest, server: ServerEntry, crashGuard: CrashGuard): Promise<Attempt> {
         const { dependencies } = this;
-        const endLoad = dependencies.load.beginRequest([server.id], 0);
+        const origin = { service: request.service, route: request.route.name, customer: request.customer };
+        const runTime = dependencies.costs.estimateRunTime(origin, server.id);
+        const endLoad = dependencies.load.beginPlainRequest(server.id, runTime);
         const sentAt = monotonicNow();
         let attempt: Attempt;
         try {
@@ -182,12 +193,14 @@
                 verdict,
                 reason: error.reason,
                 endedByGateway: gatewayFailures.has(error.failure),
+                abandoned: abandonments.has(error.failure),
             };
         }
         finally {
             endLoad();
         }
-        this.recordAttempt(request, server, attempt, sentAt);
+        this.recordRunTime(origin, server.id, attempt, sentAt);
+        this.recordAttempt(request, server, attempt, sentAt, runTime.meanMilliseconds);
         return attempt;
     }
 
@@ -216,7 +229,23 @@
         });
     }
 
-    private recordAttempt(request: GatewayRequest, server: ServerEntry, attempt: Attempt, sentAt: number): void {
+    /** A server error says nothing about the time that the work takes: a faulty server fails at once. */
+    private recordRunTime(origin: RequestOrigin, serverId: string, attempt: Attempt, sentAt: number): void {
+        const complete = attempt.verdict === ResponseVerdict.answered
+            && attempt.answer.head.status < lowestServerErrorStatus;
+        if (complete || (attempt.verdict !== ResponseVerdict.answered && attempt.abandoned)) {
+            const milliseconds = monotonicNow() - sentAt;
+            this.dependencies.costs.recordRunTime({ ...origin, serverId, milliseconds, complete });
+        }
+    }
+
+    private recordAttempt(
+        request: GatewayRequest,
+        server: ServerEntry,
+        attempt: Attempt,
+        sentAt: number,
+        expectedMilliseconds: number,
+    ): void {
         const hasResponse = attempt.verdict === ResponseVerdict.answered;
         if (hasResponse) {
             this.dependencies.exclusions.recordSuccess(server.id);
@@ -236,6 +265,8 @@
                 outcome: attempt.verdict,
                 startedAfterMilliseconds: Math.round(sentAt - request.receivedAt),
                 milliseconds: Math.round(monotonicNow() - sentAt),
+                route: request.route.name,
+                expectedMilliseconds: Math.round(expectedMilliseconds),
             },
         });
     }
--- a/src/request/gateway/plain-server-chooser.ts
+++ b/src/request/gateway/plain-server-chooser.ts
@@ -5,9 +5,11 @@
  */
 import { type RandomSource, shuffle } from "../../common/random.js";
 import type { ServerEntry } from "../../domain/gateway/server-entry.js";
-import type { LoadEstimate } from "../../process/gateway/fleet-load.js";
+import type { LoadEstimate, WorkLeftEstimate } from "../../process/gateway/fleet-load.js";
 import type { ServerExclusions } from "../../process/gateway/server-exclusions.js";
 import type { ServerRegistry } from "../../process/gateway/server-registry.js";
+import { normalTail } from "../../process/request-costs/log-normal.js";
+import type { RequestCostEstimator } from "../../process/request-costs/types.js";
 
 export interface PlainServerChooser {
     /** Returns undefined if no server is left other than the IDs in `tried`. */
@@ -82,3 +84,40 @@
         return this.leastLoaded.select(shuffle(this.random, servers).slice(0, 2));
     }
 }
+
+/**
+ * Of two servers drawn at random, the one that is expected to end the request first, by the work that it still has to do and
+ * by its own pace. Answers the load pattern of requests whose work differs by an order of magnitude, and of a server
+ * that turns slow without failing: counts of requests say the same of both.
+ */
+export class LeastWorkPolicy implements PlainServerPolicy {
+    constructor(
+        private readonly load: RequestCounts & WorkLeftEstimate,
+        private readonly costs: Pick<RequestCostEstimator, "usualRunMilliseconds">,
+        private readonly random: RandomSource,
+    ) {}
+
+    select(servers: readonly ServerEntry[]): ServerEntry | undefined {
+        return shuffle(this.random, servers)
+            .slice(0, 2)
+            .map(server => ({ server, milliseconds: this.expectedMilliseconds(server) }))
+            .sort((left, right) => left.milliseconds - right.milliseconds)[0]?.server;
+    }
+
+    private expectedMilliseconds({ id, service, slots }: ServerEntry): number {
+        const requests = this.load.requests(id);
+        const workOfOne = requests === 0 ? 0 : this.load.workMilliseconds(id) / requests;
+        return expectedExcess(requests + 1, slots) * workOfOne / slots + this.costs.usualRunMilliseconds(service, id);
+    }
+}
+
+/**
+ * Expected number of requests beyond the slots. The count is half a second old: as many requests end as arrive meanwhile,
+ * so that it is taken as normal with the count as its variance.
+ */
+function expectedExcess(requests: number, slots: number): number {
+    const deviation = Math.sqrt(requests);
+    const scaled = (requests - slots) / deviation;
+    return deviation * Math.exp(-(scaled ** 2) / 2) / Math.sqrt(2 * Math.PI)
+        + (requests - slots) * normalTail(-scaled);
+}
--- /dev/null
+++ b/src/request/gateway/stream-cost.ts
@@ -0,0 +1,61 @@
+/**
+ * The expected and the actual cost of one stream: its size before it runs, its part of the servers' load while it runs, and
+ * what its end teaches.
+ */
+import type { Metrics } from "../../common/metrics.js";
+import type { EngineProfile } from "../../domain/gateway/configuration.js";
+import type { LocalServerLoad, RunningStream } from "../../process/gateway/local-server-load.js";
+import type { OutputEstimate, RequestCostEstimator } from "../../process/request-costs/types.js";
+import type { LayerPath, RequestSize } from "./layer-path-finder.js";
+import { requestSize, streamCostQuery } from "./request-size.js";
+import type { StreamProgress } from "./stream-progress.js";
+import type { GatewayRequest } from "./types.js";
+
+export interface StreamCostDependencies {
+    readonly load: LocalServerLoad;
+    readonly costs: RequestCostEstimator;
+    readonly metrics: Metrics;
+}
+
+export class StreamCost {
+    readonly size: RequestSize;
+    private readonly output: OutputEstimate;
+
+    constructor(
+        private readonly dependencies: StreamCostDependencies,
+        private readonly request: GatewayRequest,
+        private readonly engine: EngineProfile,
+        private readonly progress: StreamProgress,
+    ) {
+        this.output = dependencies.costs.estimateOutput(streamCostQuery(request, engine));
+        this.size = requestSize(request, engine, { estimateOutput: () => this.output });
+    }
+
+    /** Counts a run on the servers of its path, in view of what earlier runs have generated. */
+    beginRun(path: LayerPath): RunningStream {
+        const serverIds = path.parts.map(({ server }) => server.id);
+        const running = this.dependencies.load.beginStream(serverIds, this.size.promptTokens, this.output);
+        this.recordEvent(running);
+        return running;
+    }
+
+    recordEvent(running: RunningStream): void {
+        running.recordOutput(this.generatedTokens);
+    }
+
+    /** Learns from a complete stream. The rest of one that the caller had begun to receive before tells nothing of its length. */
+    recordComplete(): void {
+        const { dependencies, request, engine, generatedTokens } = this;
+        if (request.resumesStream) {
+            return;
+        }
+        dependencies.costs.recordOutput(streamCostQuery(request, engine), generatedTokens);
+        dependencies.metrics.increment("pomelostall.gateway.output_estimates", 1, {
+            outcome: generatedTokens <= this.output.upperTokens ? "held" : "exceeded",
+        });
+    }
+
+    private get generatedTokens(): number {
+        return this.progress.deliveredEvents * this.engine.tokensPerEvent;
+    }
+}
--- a/src/request/gateway/stream-progress.ts
+++ b/src/request/gateway/stream-progress.ts
@@ -20,6 +20,7 @@
     private firstDeliveredAt: number | undefined;
     private lastDeliveredAt: number | undefined;
     private longestPause = 0;
+    private delivered = 0;
 
     constructor(private readonly response: CallerResponse) {}
 
@@ -38,6 +39,11 @@
         return this.longestPause;
     }
 
+    /** Events that the caller has received of all runs. */
+    get deliveredEvents(): number {
+        return this.delivered;
+    }
+
     get lastEventId(): string | undefined {
         return this.lastId;
     }
@@ -56,6 +62,7 @@
 
     deliver(event: CompleteEvent, source: EventSource): void {
         this.lastId = event.id ?? this.lastId;
+        this.delivered++;
         this.recordEventTime();
         if (!this.response.write(event.bytes)) {
             source.pause();
--- a/src/request/gateway/stream-request-handler.ts
+++ b/src/request/gateway/stream-request-handler.ts
@@ -20,7 +20,6 @@
     RouterDrainingError,
 } from "../../errors/index.js";
 import type { FirstEventLatency } from "../../process/gateway/first-event-latency.js";
-import type { LocalServerLoad } from "../../process/gateway/local-server-load.js";
 import type { ServerRegistry } from "../../process/gateway/server-registry.js";
 import type { ShutdownGrace } from "../../process/gateway/shutdown-grace.js";
 import type { WindowedRetryBudget } from "../../process/gateway/windowed-retry-budget.js";
@@ -32,20 +31,21 @@
 import type { GatewayHeaders } from "./headers.js";
 import { addressedParts, type LayerPath } from "./layer-path-finder.js";
 import { pollUntilDefined, shortWaitEnd } from "./poll-until-defined.js";
-import { requestSize } from "./request-size.js";
 import type { RetryAdvice } from "./retry-advice.js";
 import { callerPatienceMilliseconds, computeStallLimits } from "./stall-limits.js";
 import { AttemptEnd, type AttemptResult } from "./stream-attempt.js";
+import { StreamCost, type StreamCostDependencies } from "./stream-cost.js";
 import { StreamProgress } from "./stream-progress.js";
 import { logEndedRun } from "./stream-run-log.js";
 import { StreamRun } from "./stream-run.js";
 import type { GatewayRequest } from "./types.js";
 
-export interface StreamRequestDependencies extends SupervisionDependencies, CrashGuardDependencies {
+export interface StreamRequestDependencies
+    extends SupervisionDependencies, CrashGuardDependencies, StreamCostDependencies
+{
     readonly dialect: Dialect;
     readonly headers: GatewayHeaders;
     readonly registry: ServerRegistry;
-    readonly load: LocalServerLoad;
     readonly retries: WindowedRetryBudget;
     readonly firstEvents: FirstEventLatency;
     readonly retryAdvice: RetryAdvice;
@@ -66,6 +66,7 @@
     private readonly progress: StreamProgress;
     private readonly crashGuard: CrashGuard;
     private readonly runs: CompetingRuns<StreamRun>;
+    private readonly cost: StreamCost;
     private startedRuns = 0;
     private unexecutedRuns = 0;
     private refusals = 0;
@@ -80,6 +81,7 @@
         this.runs = new CompetingRuns(dependencies.failures);
         this.progress = new StreamProgress(response);
         this.crashGuard = new CrashGuard(dependencies, request);
+        this.cost = new StreamCost(dependencies, request, engine, this.progress);
     }
 
     /** Throws a PomelostallError if the stream could not be completed. */
@@ -111,6 +113,7 @@
         if (result.end === AttemptEnd.complete) {
             run.path.parts.forEach(({ server }) => this.dependencies.exclusions.recordSuccess(server.id));
             this.progress.end();
+            this.cost.recordComplete();
             return true;
         }
         this.countRefusal(run, result);
@@ -162,8 +165,8 @@
     }
 
     private choosePathAvoiding(avoided: ReadonlySet<string>): LayerPath | undefined {
-        const { request, engine } = this;
-        return this.dependencies.paths.choose(request.service, engine, requestSize(request, engine), avoided);
+        const { request, engine, cost } = this;
+        return this.dependencies.paths.choose(request.service, engine, cost.size, avoided);
     }
 
     /** Monotonic time in milliseconds at which the caller abandons the stream if it receives no event before. */
@@ -195,14 +198,10 @@
     }
 
     private startRun(path: LayerPath): void {
-        const { request, engine, dependencies, progress, runs } = this;
+        const { request, engine, dependencies, progress, runs, cost } = this;
         const { service } = request;
         const server = path.parts[0]!.server;
-        const size = requestSize(request, engine);
-        const endLoad = dependencies.load.beginRequest(
-            path.parts.map(part => part.server.id),
-            size.promptTokens + size.outputTokens,
-        );
+        const running = cost.beginRun(path);
         const run = new StreamRun(dependencies, this.runningAttempts, {
             request,
             path,
@@ -223,16 +222,17 @@
             progress,
             runs,
             crashGuard: this.crashGuard,
+            eventDelivered: () => cost.recordEvent(running),
             mayStartRival: current => this.mayStartRival(current),
             startRival: (current, rivalPath, avoided) => this.startRival(current, rivalPath, avoided),
             choosePath: avoided =>
                 this.choosePathAvoiding(new Set([...this.avoidedServers, ...avoided]))
                     ?? this.choosePathAvoiding(avoided),
             chooseReplacement: (current, lost) =>
-                dependencies.paths.chooseReplacement(service, engine, size, current, lost),
+                dependencies.paths.chooseReplacement(service, engine, cost.size, current, lost),
         }, monotonicNow());
         this.startedRuns++;
-        runs.add(run, endLoad);
+        runs.add(run, () => running.end());
     }
 
     /** Two runs compete at most; a rival that is lost gives way to another one. */
@@ -371,13 +371,9 @@
     }
 
     private retryAfterSeconds(): number {
-        const { request, engine, dependencies } = this;
+        const { request, engine, dependencies, cost } = this;
         return dependencies.retryAdvice.retryAfterSeconds({
-            expectedMilliseconds: dependencies.paths.expectedWaitMilliseconds(
-                request.service,
-                engine,
-                requestSize(request, engine),
-            ),
+            expectedMilliseconds: dependencies.paths.expectedWaitMilliseconds(request.service, engine, cost.size),
             unavailableMilliseconds: dependencies.paths.pauseMilliseconds(request.service, engine),
             remainingMilliseconds: request.deadline - monotonicNow(),
         });
@@ -395,6 +391,7 @@
         const { registry, metrics, logger } = dependencies;
         const atFault = this.serverAtFault(result);
         const registryGeneration = registry.generation;
-        logEndedRun({ request, path, result, startedAt, atFault, registryGeneration, progress }, metrics, logger);
+        const { size } = this.cost;
+        logEndedRun({ request, size, path, result, startedAt, atFault, registryGeneration, progress }, metrics, logger);
     }
 }
--- a/src/request/gateway/stream-run-log.ts
+++ b/src/request/gateway/stream-run-log.ts
@@ -2,13 +2,15 @@
 import { monotonicNow } from "../../common/clock.js";
 import type { Logger } from "../../common/logger.js";
 import type { Metrics } from "../../common/metrics.js";
-import { formatPath, type LayerPath } from "./layer-path-finder.js";
+import { formatPath, type LayerPath, type RequestSize } from "./layer-path-finder.js";
 import type { AttemptResult } from "./stream-attempt.js";
 import type { StreamProgress } from "./stream-progress.js";
 import type { GatewayRequest } from "./types.js";
 
 export interface EndedRunRecord {
     readonly request: GatewayRequest;
+    /** Size that was expected when the request arrived. */
+    readonly size: RequestSize;
     readonly path: LayerPath;
     readonly result: AttemptResult;
     /** Monotonic time in milliseconds. */
@@ -20,7 +22,7 @@
 }
 
 export function logEndedRun(record: EndedRunRecord, metrics: Metrics, logger: Logger): void {
-    const { request, path, result, progress } = record;
+    const { request, size, path, result, progress } = record;
     const { firstEventAt } = progress;
     metrics.increment("pomelostall.gateway.stream_attempts", 1, { outcome: result.end });
     logger.decision({
@@ -39,6 +41,11 @@
             deliveredEvents: result.deliveredEvents,
             sharedPromptParts: request.sharedPromptParts.join(","),
             lastEventId: progress.lastEventId,
+            route: request.route.name,
+            customer: request.customer,
+            lengthHint: request.lengthHint,
+            maximumOutputTokens: request.tokens?.maximumOutput,
+            expectedOutputTokens: Math.round(size.outputTokens),
             firstEventMilliseconds: firstEventAt === undefined
                 ? undefined
                 : Math.round(firstEventAt - request.receivedAt),
--- a/src/request/gateway/stream-run.ts
+++ b/src/request/gateway/stream-run.ts
@@ -26,6 +26,8 @@
     readonly progress: StreamProgress;
     readonly runs: CompetingRuns<StreamRun>;
     readonly crashGuard: CrashGuard;
+    /** Called after each event that the run has delivered. */
+    eventDelivered(): void;
     /** Whether the route, the attempt limit and the retry budget allow another run beside this one. */
     mayStartRival(run: StreamRun): boolean;
     /** Starts another run on the path if that is still allowed; returns whether it has. */
@@ -112,6 +114,7 @@
         this.win();
         this.supervisor.recordProgress();
         progress.deliver(event, this);
+        this.options.eventDelivered();
         return true;
     }
 
--- a/src/request/gateway/types.ts
+++ b/src/request/gateway/types.ts
@@ -20,6 +20,10 @@
     readonly priority: number;
     /** Undefined if the caller did not state valid token counts. */
     readonly tokens: TokenCounts | undefined;
+    /** The caller's estimate of the output tokens; undefined if it did not state a valid one. */
+    readonly lengthHint: number | undefined;
+    /** Whether the caller asks for the rest of a stream that it has begun to receive before. */
+    readonly resumesStream: boolean;
     /** IDs of the parts that the prompt shares with other requests, in the prompt's order. */
     readonly sharedPromptParts: readonly string[];
     readonly configurationVersion: number;
--- a/src/stand-ins/engine-fleet/sample-fleets.ts
+++ b/src/stand-ins/engine-fleet/sample-fleets.ts
@@ -36,6 +36,7 @@
     loadSeconds: 14,
     typicalPromptTokens: 770,
     typicalOutputTokens: 175,
+    tokensPerEvent: 1,
     reportLagMilliseconds: 200,
     kinds: new Map(kinds.map(kind => [kind.name, kind])),
 };
--- a/test/connection/gateway/peer-notices.test.ts
+++ b/test/connection/gateway/peer-notices.test.ts
@@ -128,6 +128,17 @@
     expect(decodeReport(encodeReport(report).toString())).toEqual(report);
 });
 
+test("work left is kept in whole milliseconds, and may be missing", () => {
+    const report = {
+        loads: new Map(),
+        work: new Map([["a", 250.4]]),
+        retryUsage: { usages: new Map(), recordedMilliseconds: 0 },
+    };
+    expect(decodeReport(encodeReport(report).toString()).work).toEqual(new Map([["a", 250]]));
+    expect(decodeReport(emptyReport).work).toBeUndefined();
+    expect(() => decodeReport('{"loads":{},"retryUsages":{},"work":{"a":"much"}}')).toThrow();
+});
+
 test("a notice without grants is accepted, as routers of an earlier version send it", () => {
     const text = JSON.stringify({ sender: "leader", servers: [], otherLoads: {} });
     expect(decodeNotice(text).retryGrants.size).toBe(0);
--- a/test/process/gateway/fixtures.ts
+++ b/test/process/gateway/fixtures.ts
@@ -38,6 +38,7 @@
     loadSeconds: 10,
     typicalPromptTokens: 700,
     typicalOutputTokens: 150,
+    tokensPerEvent: 1,
     reportLagMilliseconds: 200,
     kinds: new Map([
         ["small", { name: "small", memoryMegabytes: 8_000, stepFactor: 10, prefillFactor: 10 }],
--- a/test/process/gateway/fleet-load.test.ts
+++ b/test/process/gateway/fleet-load.test.ts
@@ -2,6 +2,7 @@
 import type { RunningLoad } from "../../../src/domain/gateway/placement-notice.js";
 import { FleetLoad } from "../../../src/process/gateway/fleet-load.js";
 import { LocalServerLoad } from "../../../src/process/gateway/local-server-load.js";
+import type { OutputEstimate, RunTimeEstimate } from "../../../src/process/request-costs/types.js";
 
 let localLoad: LocalServerLoad;
 let fleetLoad: FleetLoad;
@@ -25,6 +26,56 @@
     expect([fleetLoad.requests("a"), fleetLoad.tokens("b")]).toEqual([3, 0]);
 });
 
+const output: OutputEstimate = {
+    meanTokens: 100,
+    upperTokens: 200,
+    expectedAfter: generated => Math.max(100, 1.5 * generated),
+};
+const runTime: RunTimeEstimate = {
+    meanMilliseconds: 100,
+    expectedAfter: elapsed => Math.max(100, 1.5 * elapsed),
+};
+
+test("a stream counts with its prompt and the output that its progress makes likely, on every server of its path", () => {
+    const stream = localLoad.beginStream(["a", "b"], 700, output);
+    expect(localLoad.tokens("a")).toBe(800);
+    stream.recordOutput(50);
+    expect(localLoad.tokens("b")).toBe(800);
+    stream.recordOutput(400);
+    expect([localLoad.tokens("a"), localLoad.tokens("b")]).toEqual([1_300, 1_300]);
+    stream.end();
+    stream.end();
+    stream.recordOutput(800);
+    expect([localLoad.tokens("a"), localLoad.requests("a")]).toEqual([0, 0]);
+});
+
+test("a plain request counts with the run time that it has left", () => {
+    const end = localLoad.beginPlainRequest("a", runTime);
+    localLoad.beginPlainRequest("b", runTime);
+    jest.advanceTimersByTime(60);
+    expect(localLoad.workMilliseconds("a")).toBeCloseTo(40);
+    jest.advanceTimersByTime(940);
+    expect(localLoad.workMilliseconds("a")).toBeCloseTo(500);
+    expect([...localLoad.allWork.keys()]).toEqual(["a", "b"]);
+    end();
+    end();
+    expect([localLoad.workMilliseconds("a"), localLoad.requests("a")]).toEqual([0, 0]);
+    expect([...localLoad.allWork.keys()]).toEqual(["b"]);
+});
+
+test("work left is that of all routers, and only the router's own times the routers without notices", () => {
+    localLoad.beginPlainRequest("a", runTime);
+    expect(fleetLoad.workMilliseconds("a")).toBeCloseTo(1_000);
+    fleetLoad.recordRouterLoads("second", new Map(), new Map([["a", 300]]));
+    fleetLoad.recordRouterLoads("third", new Map(), new Map([["a", 30], ["b", 40]]));
+    expect([fleetLoad.workMilliseconds("a"), fleetLoad.workMilliseconds("b")]).toEqual([430, 40]);
+    expect([...fleetLoad.workExcluding("third")]).toEqual([["a", 400]]);
+    fleetLoad.recordRouterLoads("second", new Map());
+    expect(fleetLoad.workMilliseconds("a")).toBeCloseTo(130);
+    jest.advanceTimersByTime(2_001);
+    expect([fleetLoad.workMilliseconds("b"), fleetLoad.workExcluding("third").has("b")]).toEqual([0, false]);
+});
+
 test("the reported load of other routers expires", () => {
     fleetLoad.applyOtherLoads(new Map([["a", { requests: 3, tokens: 900 }]]));
     jest.advanceTimersByTime(2_001);
--- a/test/request/gateway/unsendable-requests.test.ts
+++ b/test/request/gateway/unsendable-requests.test.ts
@@ -14,6 +14,7 @@
 import { ServerRegistry } from "../../../src/process/gateway/server-registry.js";
 import { ShutdownGrace } from "../../../src/process/gateway/shutdown-grace.js";
 import { WindowedRetryBudget } from "../../../src/process/gateway/windowed-retry-budget.js";
+import { TypicalRequestCosts } from "../../../src/process/request-costs/typical-request-costs.js";
 import { CallerResponse } from "../../../src/request/gateway/caller-response.js";
 import { GatewayHeaders } from "../../../src/request/gateway/headers.js";
 import type { LayerPathChooser } from "../../../src/request/gateway/layer-path-chooser.js";
@@ -44,6 +45,8 @@
         customer: unsendableName,
         priority: 1,
         tokens: undefined,
+        lengthHint: undefined,
+        resumesStream: false,
         sharedPromptParts: [],
         configurationVersion: 1,
         receivedAt: performance.now(),
@@ -58,6 +61,7 @@
         dialect: platformDialect,
         headers: new GatewayHeaders(platformDialect),
         load: new LocalServerLoad(),
+        costs: new TypicalRequestCosts(),
         exclusions,
         retries: new WindowedRetryBudget({
             ratio: 1,
