Share short room among customers, known over the whole fleet

Cause: on the users' platform nothing bounds what one customer takes of the engines. Change: while room is short, the placement leader divides the tokens that may begin in a second by weighted max-min fairness, carries what a customer missed, and publishes the customers over their share with the notices. Room by rank asks CustomerShares.mayTakeRoom; until that is joined, limits are published and logged, and hold back no request.

The fixtures of placement-loop and unsendable-requests gain the new dependencies; none of their checks is changed.

--- a/src/daemon/gateway/gateway.ts
+++ b/src/daemon/gateway/gateway.ts
@@ -130,7 +130,7 @@
     private addComponents(metrics: PrometheusMetrics): void {
         const { listen } = this.settings;
         const { failures } = this;
-        const { fleetLoad, retries } = this.requestPath;
+        const { fleetLoad, retries, shares } = this.requestPath;
         const { registry, storeWatcher, storeCache, snapshotFallback, routers, leadership, recordWriters } = this.state;
         const readiness = createContainedServer("readiness request", this.failures, (_request, response) => {
             response.writeHead(this.isReady() ? 200 : 503, { "Content-Length": "0" });
@@ -141,7 +141,12 @@
                 registry.applyNotice(notice.servers);
                 fleetLoad.applyOtherLoads(notice.otherLoads);
                 retries.applyGrants(notice.retryGrants);
-                return { loads: fleetLoad.localLoads, retryUsage: retries.report };
+                shares.applyLimits(notice.customerLimits);
+                return {
+                    loads: fleetLoad.localLoads,
+                    retryUsage: retries.report,
+                    customerDemands: shares.takeDemands(),
+                };
             },
             acceptLeadership: offer => leadership.adopt(offer),
             snapshotAfter: revision => storeCache.snapshotAfter(revision),
--- a/src/daemon/gateway/request-path.ts
+++ b/src/daemon/gateway/request-path.ts
@@ -6,6 +6,10 @@
 import { HttpServerControl } from "../../connection/gateway/http-server-control.js";
 import { HttpNoticeSender } from "../../connection/gateway/peer-notices.js";
 import { TcpReachabilityCheck } from "../../connection/gateway/reachability.js";
+import { FleetShares } from "../../process/customer-shares/fleet-shares.js";
+import { RouterShares } from "../../process/customer-shares/router-shares.js";
+import { ServiceRoom } from "../../process/customer-shares/service-room.js";
+import { FairShares } from "../../process/customer-shares/weighted-shares.js";
 import { FirstEventLatency } from "../../process/gateway/first-event-latency.js";
 import { FleetLoad } from "../../process/gateway/fleet-load.js";
 import { FleetRetryBudget } from "../../process/gateway/fleet-retry-budget.js";
@@ -52,6 +56,7 @@
     readonly placement: PlacementLoop;
     readonly fleetLoad: FleetLoad;
     readonly retries: WindowedRetryBudget;
+    readonly shares: RouterShares;
 }
 
 export function createRequestPath(options: RequestPathOptions): RequestPath {
@@ -75,6 +80,7 @@
         leavingUseMilliseconds,
     });
     const retries = createRetryBudget(settings, state, random);
+    const shares = new RouterShares(settings.router.name, metrics);
     const reachability = new TcpReachabilityCheck({
         knownServers: () => registry.allRegistered(),
         random,
@@ -109,6 +115,7 @@
             registry,
             control,
             recoveryPolicy: new FewestZoneCrossingsPolicy(),
+            shares,
             firstEvents: new FirstEventLatency(),
         }),
         random,
@@ -127,12 +134,31 @@
         fleetLoad,
         retries: createFleetRetryBudget(settings, state, retries),
         applyGrants: grants => retries.applyGrants(grants),
+        shares: createFleetShares(options, shares, fleetLoad),
+        applyCustomerLimits: limits => shares.applyLimits(limits),
         notices: new HttpNoticeSender(() => routers.others, state.peerClient, failures, logger.withLabel("notices")),
         routerName: settings.router.name,
         failures,
         logger: logger.withLabel("placement"),
     });
-    return { handler, paths, placement, fleetLoad, retries };
+    return { handler, paths, placement, fleetLoad, retries, shares };
+}
+
+function createFleetShares(
+    { state, metrics, logger }: RequestPathOptions,
+    ownShares: RouterShares,
+    fleetLoad: FleetLoad,
+): FleetShares {
+    const { configuration, registry } = state;
+    const room = new ServiceRoom(configuration, registry, fleetLoad);
+    return new FleetShares({
+        policy: new FairShares(),
+        roomUse: service => room.use(service),
+        ownDemands: () => ownShares.takeDemands(),
+        configurationVersion: () => configuration.current?.version ?? 0,
+        metrics,
+        logger: logger.withLabel("shares"),
+    });
 }
 
 function createFleetRetryBudget(
--- a/src/process/gateway/layer-placement/placement-loop.ts
+++ b/src/process/gateway/layer-placement/placement-loop.ts
@@ -9,10 +9,11 @@
 import type { ManagedComponent } from "../../../common/life-cycle.js";
 import type { Logger } from "../../../common/logger.js";
 import type { EngineProfile, GatewayService } from "../../../domain/gateway/configuration.js";
-import type { NoticeSender, RetryGrants, ServerNotice } from "../../../domain/gateway/placement-notice.js";
+import type { ByCustomer, NoticeSender, RetryGrants, ServerNotice } from "../../../domain/gateway/placement-notice.js";
 import type { ServerControl } from "../../../domain/gateway/server-control.js";
 import { formatSocketAddress, OrderOutcome, type ServerEntry } from "../../../domain/gateway/server-entry.js";
 import { formatLayerRange, isWithinModel, layerCount, type LayerRange } from "../../../domain/layers.js";
+import type { FleetShares } from "../../customer-shares/fleet-shares.js";
 import type { ActiveConfiguration } from "../active-configuration.js";
 import { type FleetLoad, noticeIntervalMilliseconds } from "../fleet-load.js";
 import type { FleetRetryBudget } from "../fleet-retry-budget.js";
@@ -48,6 +49,9 @@
     readonly retries: FleetRetryBudget;
     /** Applies this router's own part of the retry budget. */
     applyGrants(grants: RetryGrants): void;
+    readonly shares: FleetShares;
+    /** Applies the customers' limits to this router; undefined leaves the last ones in force. */
+    applyCustomerLimits(limits: ByCustomer<number> | undefined): void;
     /** Name of this router as the sender of notices. */
     readonly routerName: string;
     readonly failures: FailureReporter;
@@ -249,21 +253,25 @@
             return;
         }
         this.lastNoticeAt = monotonicNow();
-        const { registry, fleetLoad, retries, notices, routerName: sender } = this.dependencies;
+        const { registry, fleetLoad, retries, shares, notices, routerName: sender } = this.dependencies;
         const servers = this.listCorrections();
         registry.applyNotice(servers);
         const retryGrants = retries.computeGrants();
         this.dependencies.applyGrants(retryGrants);
+        const customerLimits = shares.computeLimits();
+        this.dependencies.applyCustomerLimits(customerLimits);
         notices.send(
             router => ({
                 sender,
                 servers,
                 otherLoads: fleetLoad.totalExcluding(formatSocketAddress(router)),
                 retryGrants: retries.grantsFor(formatSocketAddress(router), retryGrants),
+                customerLimits,
             }),
-            (router, { loads, retryUsage }) => {
+            (router, { loads, retryUsage, customerDemands }) => {
                 fleetLoad.recordRouterLoads(formatSocketAddress(router), loads);
                 retries.recordReport(formatSocketAddress(router), retryUsage);
+                shares.recordReport(customerDemands);
             },
         );
     }
--- a/src/request/gateway/stream-request-handler.ts
+++ b/src/request/gateway/stream-request-handler.ts
@@ -45,7 +45,7 @@
     readonly dialect: Dialect;
     readonly headers: GatewayHeaders;
     readonly registry: ServerRegistry;
-    readonly load: LocalServerLoad;
+    readonly load: Pick<LocalServerLoad, "beginRequest">;
     readonly retries: WindowedRetryBudget;
     readonly firstEvents: FirstEventLatency;
     readonly retryAdvice: RetryAdvice;
--- a/test/process/gateway/placement-loop.test.ts
+++ b/test/process/gateway/placement-loop.test.ts
@@ -1,10 +1,13 @@
 import { afterEach, beforeEach, describe, expect, jest, test } from "@jest/globals";
 import { SilentLogger } from "../../../src/common/logger.js";
+import { SilentMetrics } from "../../../src/common/metrics.js";
 import type { PlacementNotice, ServerNotice } from "../../../src/domain/gateway/placement-notice.js";
 import type { ServerControl } from "../../../src/domain/gateway/server-control.js";
 import { OrderOutcome, type ServerEntry } from "../../../src/domain/gateway/server-entry.js";
 import type { LayerRange } from "../../../src/domain/layers.js";
 import { ConnectionFailedError, ConnectionFailure } from "../../../src/errors/index.js";
+import { FleetShares } from "../../../src/process/customer-shares/fleet-shares.js";
+import { FairShares } from "../../../src/process/customer-shares/weighted-shares.js";
 import { ActiveConfiguration } from "../../../src/process/gateway/active-configuration.js";
 import { FleetLoad } from "../../../src/process/gateway/fleet-load.js";
 import { FleetRetryBudget } from "../../../src/process/gateway/fleet-retry-budget.js";
@@ -125,6 +128,15 @@
             ownReport: () => ({ usages: new Map(), recordedMilliseconds: 0 }),
         }),
         applyGrants: () => undefined,
+        shares: new FleetShares({
+            policy: new FairShares(),
+            roomUse: () => undefined,
+            ownDemands: () => undefined,
+            configurationVersion: () => 1,
+            metrics: new SilentMetrics(),
+            logger,
+        }),
+        applyCustomerLimits: () => undefined,
         routerName: "router",
         failures,
         logger,
--- a/test/request/gateway/unsendable-requests.test.ts
+++ b/test/request/gateway/unsendable-requests.test.ts
@@ -7,6 +7,7 @@
 import type { ServerControl } from "../../../src/domain/gateway/server-control.js";
 import type { ServerEntry } from "../../../src/domain/gateway/server-entry.js";
 import { ConnectionFailure, NoServerAvailableError } from "../../../src/errors/index.js";
+import { RouterShares } from "../../../src/process/customer-shares/router-shares.js";
 import { FirstEventLatency } from "../../../src/process/gateway/first-event-latency.js";
 import { LocalServerLoad } from "../../../src/process/gateway/local-server-load.js";
 import { FormerProcess } from "../../../src/process/gateway/router-directory.js";
@@ -107,6 +108,7 @@
             control: {} as ServerControl,
             recoveryPolicy: new FewestZoneCrossingsPolicy(),
             firstEvents: new FirstEventLatency(),
+            shares: new RouterShares("router", new SilentMetrics()),
         });
         const response = new CallerResponse({ headersSent: false } as ServerResponse, () => false, boundary);
         const forwarded = forwarder.forward(createRequest(), engineProfile, response);
