--- a/src/daemon/gateway/gateway.ts
+++ b/src/daemon/gateway/gateway.ts
@@ -130,7 +130,7 @@
     private addComponents(metrics: PrometheusMetrics): void {
         const { listen } = this.settings;
         const { failures } = this;
-        const { fleetLoad, retries, slowdownSurvey } = this.requestPath;
+        const { fleetLoad, retries, slowdownSurvey, shares } = this.requestPath;
         const { registry, storeWatcher, storeCache, snapshotFallback, routers, leadership, recordWriters } = this.state;
         const readiness = createContainedServer("readiness request", this.failures, (_request, response) => {
             response.writeHead(this.isReady() ? 200 : 503, { "Content-Length": "0" });
@@ -142,7 +142,13 @@
                 fleetLoad.applyOtherLoads(notice.otherLoads, notice.otherWork);
                 retries.applyGrants(notice.retryGrants);
                 slowdownSurvey.applyNotice(notice.slowdowns);
-                return { loads: fleetLoad.localLoads, work: fleetLoad.localWork, retryUsage: retries.report };
+                shares.applyLimits(notice.customerLimits);
+                return {
+                    loads: fleetLoad.localLoads,
+                    work: fleetLoad.localWork,
+                    retryUsage: retries.report,
+                    customerDemands: shares.takeDemands(),
+                };
             },
             acceptLeadership: offer => leadership.adopt(offer),
             snapshotAfter: revision => storeCache.snapshotAfter(revision),
--- a/src/request/gateway/stream-request-handler.ts
+++ b/src/request/gateway/stream-request-handler.ts
@@ -87,6 +87,7 @@
     /** Throws a PomelostallError if the stream could not be completed. */
     async run(): Promise<void> {
         this.dependencies.retries.recordRequest(this.request.service);
+        this.cost.recordArrival();
         try {
             await this.startNextRun();
             let finished: boolean;
