A stream without its first event gets a new run while that can still meet the target

Cause: the timeout of the first event follows the late ones (mean and 4 deviations), so where a part of the servers is in trouble new runs begin too late. Change: while the typical latency (an estimate of the median, which late ones hardly move) leaves room for a new run within the target, the timeout ends then; otherwise it follows the latencies as before. Only while half of the router's retries are left.

--- a/src/process/gateway/windowed-retry-budget.ts
+++ b/src/process/gateway/windowed-retry-budget.ts
@@ -13,6 +13,9 @@
 import { grantLifetimeMilliseconds, reservedShare, successorShare, usableBudgetShare } from "./retry-budget-shares.js";
 import { FormerProcess } from "./router-directory.js";
 
+/** Share of the budget that is kept for retries of requests that have no other way. */
+const savedShare = 0.5;
+
 export interface WindowedRetryBudgetOptions {
     /** Retries allowed per request. */
     readonly ratio: number;
@@ -55,6 +58,16 @@
         return this.hasOwnShareLeft(this.window(service)) || this.hasGrantLeft(service);
     }
 
+    /**
+     * Whether at least half of this router's full share is left, granted or not. Retries that only save time leave the other
+     * half to requests that have no other way.
+     */
+    hasReserve(service: string): boolean {
+        const { requests, ownRetries, grantedRetries } = this.window(service);
+        const used = ownRetries.length + grantedRetries.length;
+        return used + 1 <= savedShare * (this.options.ratio * requests.length + this.ownExtra);
+    }
+
     /** Consumes one retry of the budget; false if none is left. */
     tryConsume(service: string): boolean {
         const window = this.window(service);
--- a/src/request/gateway/attempt-supervisor.ts
+++ b/src/request/gateway/attempt-supervisor.ts
@@ -225,6 +225,7 @@
         const replacement = supervised.progress.lastEventId === undefined
             ? undefined
             : supervised.chooseReplacement(path, lostIds);
+        const rivalAllowed = supervised.mayStartRival();
         const newPath = this.chooseRivalPath(lostIds);
         const action = dependencies.recoveryPolicy.choose({ path, replacement, newPath });
         // Starts in the same turn in which the budget allows it, before other attempts look at the budget.
@@ -246,6 +247,7 @@
             `${[...lostIds].join(",")} ${reason}`,
             action,
             outcome,
+            rivalAllowed,
         );
     }
 
@@ -313,7 +315,13 @@
         clearTimeout(this.retryTimer);
     }
 
-    private log(chosen: LayerPath | undefined, reason: string, action: RecoveryAction, outcome: string): void {
+    private log(
+        chosen: LayerPath | undefined,
+        reason: string,
+        action: RecoveryAction,
+        outcome: string,
+        rivalAllowed: boolean,
+    ): void {
         const { request, progress } = this.supervised;
         this.dependencies.logger.decision({
             kind: "replace-lost-part",
@@ -322,7 +330,15 @@
             reason,
             configurationVersion: request.configurationVersion,
             requestId: request.id,
-            fields: { repair: action, outcome, lastEventId: progress.lastEventId },
+            fields: {
+                repair: action,
+                outcome,
+                rivalAllowed,
+                lastEventId: progress.lastEventId,
+                pauseMilliseconds: progress.lastEventAt === undefined
+                    ? undefined
+                    : Math.round(monotonicNow() - progress.lastEventAt),
+            },
         });
     }
 }
--- a/src/request/gateway/stream-request-handler.ts
+++ b/src/request/gateway/stream-request-handler.ts
@@ -219,7 +219,7 @@
             },
             headerNames: dependencies.dialect.headers,
             responseObserver: dependencies.responseObserver,
-            limits: computeStallLimits(request.route, dependencies.firstEvents.upperBound(service)),
+            limits: computeStallLimits(request.route, service, dependencies),
             progress,
             runs,
             crashGuard: this.crashGuard,
--- a/test/process/gateway/windowed-retry-budget.test.ts
+++ b/test/process/gateway/windowed-retry-budget.test.ts
@@ -57,3 +57,19 @@
     ]);
     expect(budget.allows("pool")).toBe(false);
 });
+
+test("half of the full share is kept for requests that have no other way", () => {
+    const budget = new WindowedRetryBudget({ ...options, routerCount: () => 10 });
+    for (let count = 0; count < 20; count++) {
+        budget.recordRequest("pool");
+    }
+    let used = 0;
+    while (budget.hasReserve("pool") && budget.tryConsume("pool")) {
+        used++;
+    }
+    expect(used).toBe(5);
+    expect(budget.allows("pool")).toBe(true);
+    jest.advanceTimersByTime(options.windowMilliseconds + 1);
+    budget.recordRequest("pool");
+    expect(budget.hasReserve("pool")).toBe(true);
+});
