Without a leader, only late streams ask for the speed of their engines

A question costs an engine a connection. Guard: without the delay the supervisor's test is red, without the interval the survey's is.

--- a/src/process/gateway/slowdown-survey.ts
+++ b/src/process/gateway/slowdown-survey.ts
@@ -4,7 +4,7 @@
  * questions grows with the engines, not with the routers. It asks at leisure, a few engines in each pass, as long as all
  * are nominal; as soon as one is slow it asks all within a second, since the causes of slowness are often common to many.
  *
- * A router that hears no leader asks for itself, and only about the engines of its own streams that have fallen quiet.
+ * A router that hears no leader asks for itself, and only about the engines of its own streams that have become late.
  */
 import { monotonicNow } from "../../common/clock.js";
 import type { FailureBoundary, FailureReporter } from "../../common/failure-boundary.js";
@@ -66,14 +66,14 @@
         this.dependencies.slowdowns.apply(readings);
     }
 
-    /** Asks the engines of a quiet stream, unless the leader does that, or they have been asked just before. */
+    /** Asks the engines of a late stream, unless the leader does that, or they have been asked just before. */
     askFor(servers: readonly ServerEntry[]): void {
         const { leadership } = this.dependencies;
         if (leadership.isLeader || monotonicNow() - this.lastNoticeAt < leaderSilenceMilliseconds) {
             return;
         }
         const room = maximumConcurrentOwnReads - this.pending.size;
-        this.listDue(servers, alertIntervalMilliseconds).slice(0, Math.max(0, room)).forEach(server =>
+        this.listDue(servers, this.intervalFor(servers)).slice(0, Math.max(0, room)).forEach(server =>
             this.ask(server)
         );
     }
@@ -84,15 +84,19 @@
         }
         const engines = this.listEngines();
         this.forget(engines);
-        const interval = engines.some(({ id }) => this.dependencies.slowdowns.isSlow(id))
-            ? alertIntervalMilliseconds
-            : calmIntervalMilliseconds;
+        const interval = this.intervalFor(engines);
         const evenShare = Math.ceil(engines.length * passIntervalMilliseconds / interval);
         this.listDue(engines, interval)
             .slice(0, Math.min(evenShare, maximumReadsPerPass))
             .forEach(server => this.ask(server));
     }
 
+    private intervalFor(servers: readonly ServerEntry[]): number {
+        return servers.some(({ id }) => this.dependencies.slowdowns.isSlow(id))
+            ? alertIntervalMilliseconds
+            : calmIntervalMilliseconds;
+    }
+
     /** Servers that have not been asked for as long as the interval, the longest first. */
     private listDue(servers: readonly ServerEntry[], intervalMilliseconds: number): ServerEntry[] {
         const limit = monotonicNow() - intervalMilliseconds;
--- a/src/request/gateway/attempt-supervisor.ts
+++ b/src/request/gateway/attempt-supervisor.ts
@@ -98,6 +98,8 @@
     /** Reported servers that the attempt could not be moved off, in which case it is not ordered again with each notice. */
     private immovable: readonly ServerEntry[] = [];
     private retryTimer: ReturnType<typeof setTimeout> | undefined;
+    /** Runs from a quiet pause on until it ends. */
+    private lateTimer: ReturnType<typeof setTimeout> | undefined;
     private recovering = false;
     private stopped = false;
 
@@ -180,12 +182,22 @@
         this.quiet = true;
         this.boundary.run(() => this.recoverFromReported());
         this.boundary.run(() => this.checkServers());
+        this.lateTimer = setTimeout(
+            this.boundary.wrap(() => this.askForSpeed()),
+            this.supervised.limits.lateAfterQuietMilliseconds,
+        );
+    }
+
+    /** Only for a stream that is late: most quiet pauses end in time, and each question costs the engine a connection. */
+    private askForSpeed(): void {
+        if (!this.isLost) {
+            this.dependencies.slowdownSurvey.askFor(this.currentPath.parts.map(({ server }) => server));
+        }
     }
 
     private async checkServers(): Promise<void> {
         const checkStartedAt = monotonicNow();
         const servers = this.currentPath.parts.map(({ server }) => server);
-        this.dependencies.slowdownSurvey.askFor(servers);
         const unreachable = await this.dependencies.reachability.findUnreachable(servers);
         if (unreachable.length === 0 || this.hasProgressedSince(checkStartedAt)) {
             return;
@@ -313,6 +325,7 @@
         this.stalled = false;
         this.lost = [];
         clearTimeout(this.retryTimer);
+        clearTimeout(this.lateTimer);
     }
 
     private log(
--- a/src/request/gateway/stall-detector.ts
+++ b/src/request/gateway/stall-detector.ts
@@ -8,6 +8,8 @@
 export interface StallLimits {
     /** Shortest pause between events that is reported as quiet, whatever the stream's average gap. */
     readonly quietThresholdMilliseconds: number;
+    /** Time beyond the quiet threshold after which the pause is too long for a stream that is on time. */
+    readonly lateAfterQuietMilliseconds: number;
     /** Pause between events that is reported as a stall. */
     readonly stallTimeoutMilliseconds: number;
     /** The same limits for the first event, which is delayed by the prefill of the prompt. */
--- a/src/request/gateway/stall-limits.ts
+++ b/src/request/gateway/stall-limits.ts
@@ -61,6 +61,7 @@
         ?? maximumFirstEventStallShare * targetLatency;
     return {
         quietThresholdMilliseconds: maximumEventGap * quietThresholdShare,
+        lateAfterQuietMilliseconds: maximumEventGap * (1 - quietThresholdShare),
         stallTimeoutMilliseconds,
         firstEventQuietThresholdMilliseconds: targetLatency * firstEventQuietThresholdShare,
         firstEventStallTimeoutMilliseconds: Math.min(
--- a/test/process/gateway/slowdown-survey.test.ts
+++ b/test/process/gateway/slowdown-survey.test.ts
@@ -115,7 +115,7 @@
         expect(asked).toEqual(["e1", "e2"]);
     });
 
-    test("without a leader asks the engines of quiet streams, each once a second for all streams", async () => {
+    test("without a leader asks the engines of late streams, each once for all streams, and slow ones each second", async () => {
         slow = id => id === "e1";
         for (let stream = 0; stream < 20; stream++) {
             survey.askFor([serverEntry("e1"), serverEntry("e2")]);
@@ -126,5 +126,11 @@
         await jest.advanceTimersByTimeAsync(1_000);
         survey.askFor([serverEntry("e1")]);
         expect(asked).toHaveLength(3);
+        slow = () => false;
+        await jest.advanceTimersByTimeAsync(1_000);
+        survey.askFor([serverEntry("e1")]);
+        await jest.advanceTimersByTimeAsync(1_500);
+        survey.askFor([serverEntry("e1")]);
+        expect(asked).toHaveLength(4);
     });
 });
--- a/test/request/gateway/attempt-supervisor.test.ts
+++ b/test/request/gateway/attempt-supervisor.test.ts
@@ -27,9 +27,11 @@
 let outcome: OrderOutcome;
 let checkMilliseconds: number;
 let exclusions: ServerExclusions;
+let asked: string[][];
 
 beforeEach(() => {
     rivals = [];
+    asked = [];
     orders = 0;
     checkMilliseconds = 0;
     outcome = OrderOutcome.begun;
@@ -59,7 +61,7 @@
                 },
             } as never,
             exclusions,
-            slowdownSurvey: { askFor: () => undefined },
+            slowdownSurvey: { askFor: servers => asked.push(servers.map(({ id }) => id)) },
             failures,
             metrics: new SilentMetrics(),
             logger,
@@ -76,6 +78,7 @@
             } as never,
             limits: {
                 quietThresholdMilliseconds: 70,
+                lateAfterQuietMilliseconds: 130,
                 stallTimeoutMilliseconds: 1_000,
                 firstEventQuietThresholdMilliseconds: 90,
                 firstEventStallTimeoutMilliseconds: 200,
@@ -153,3 +156,13 @@
     }
     expect(orders).toBeLessThanOrEqual(3);
 });
+
+test("the engines of a stream are asked for their speed once it is late, not in each quiet pause", async () => {
+    await jest.advanceTimersByTimeAsync(150);
+    lastEventAt = monotonicNow();
+    supervisor.recordProgress();
+    await jest.advanceTimersByTimeAsync(190);
+    expect(asked).toEqual([]);
+    await jest.advanceTimersByTimeAsync(200);
+    expect(asked).toEqual([["a", "b"]]);
+});
--- a/test/request/gateway/stall-detector.test.ts
+++ b/test/request/gateway/stall-detector.test.ts
@@ -4,6 +4,7 @@
 
 const limits = {
     quietThresholdMilliseconds: 90,
+    lateAfterQuietMilliseconds: 160,
     stallTimeoutMilliseconds: 1_000,
     firstEventQuietThresholdMilliseconds: 150,
     firstEventStallTimeoutMilliseconds: 800,
