--- a/test/platform/gateway-fixture.ts
+++ b/test/platform/gateway-fixture.ts
@@ -208,13 +208,14 @@
     sendPlacementNotice(
         servers: PlacementNotice["servers"],
         retryGrants: PlacementNotice["retryGrants"] = new Map(),
+        slowdowns: PlacementNotice["slowdowns"] = new Map(),
     ): Promise<GatewayResponse> {
         const body = encodeNotice({
             sender: "leader",
             servers,
             otherLoads: new Map(),
             retryGrants,
-            slowdowns: new Map(),
+            slowdowns,
         }).toString();
         return sendRequest(this.gateways[0]!.peerAddress.port, "POST", noticePath, {}, body);
     }
--- a/test/platform/odd-server-entries.test.ts
+++ b/test/platform/odd-server-entries.test.ts
@@ -103,6 +103,15 @@
     expect(decodeReport(Buffer.from(JSON.stringify(soundReport)))).toBeDefined();
 });
 
+test.each<[unknown, number]>([[12, 12], [1, 1], [0.5, 1], [-3, 1], [1e9, 100], ["12", 1], [null, 1], [undefined, 1], [[
+    2,
+], 1]])(
+    "the pace %j in a report reads as %d, and the rest of the report holds",
+    (pace, slowdown) => {
+        expect(decodeReport(Buffer.from(JSON.stringify({ ...soundReport, pace })))?.slowdown).toBe(slowdown);
+    },
+);
+
 const isWhole = (value: number | undefined) => value === undefined || (Number.isSafeInteger(value) && value >= 0);
 
 function expectInRange({ bornAt, layers }: Pick<ServerEntry, "bornAt" | "layers">): void {
--- a/test/platform/stand-ins/backend-server.ts
+++ b/test/platform/stand-ins/backend-server.ts
@@ -110,6 +110,8 @@
     leaving = false;
     /** Announces in every response that the server is leaving. */
     announcesLeaving = false;
+    /** Stated in reports; over 1 for a slow engine. */
+    pace: unknown;
     /** Retry-After of refusals. */
     retryAfter: string | undefined;
     /** Crashes under a stream whose prompt has this part; the test has it restarted. */
@@ -191,7 +193,13 @@
             return;
         }
         if (request.url === "/report") {
-            const report = { busy: false, seq: this.acceptedOrders, born: this.starts, layers: this.layers };
+            const report = {
+                busy: false,
+                seq: this.acceptedOrders,
+                born: this.starts,
+                layers: this.layers,
+                pace: this.pace,
+            };
             response.end(JSON.stringify(report));
             return;
         }
