--- a/src/daemon/gateway/request-path.ts
+++ b/src/daemon/gateway/request-path.ts
@@ -78,6 +78,7 @@
         leadership: state.leadership,
         control,
         slowdowns,
+        exclusions,
         failures,
         logger: logger.withLabel("slowdowns"),
     });
--- a/src/process/gateway/slowdown-survey.ts
+++ b/src/process/gateway/slowdown-survey.ts
@@ -15,6 +15,7 @@
 import type { ServerEntry } from "../../domain/gateway/server-entry.js";
 import type { ActiveConfiguration } from "./active-configuration.js";
 import { noticeIntervalMilliseconds } from "./fleet-load.js";
+import type { ServerExclusions } from "./server-exclusions.js";
 import type { ServerRegistry } from "./server-registry.js";
 import { type ServerSlowdowns, slowdownLifetimeMilliseconds } from "./server-slowdowns.js";
 
@@ -36,6 +37,7 @@
     readonly leadership: { readonly isLeader: boolean; };
     readonly control: Pick<ServerControl, "readReport">;
     readonly slowdowns: ServerSlowdowns;
+    readonly exclusions: Pick<ServerExclusions, "isPaused">;
     readonly failures: FailureReporter;
     readonly logger: Logger;
 }
@@ -97,11 +99,13 @@
             : calmIntervalMilliseconds;
     }
 
-    /** Servers that have not been asked for as long as the interval, the longest first. */
+    /** Servers that have not been asked for as long as the interval, the longest first; none that wants no requests now. */
     private listDue(servers: readonly ServerEntry[], intervalMilliseconds: number): ServerEntry[] {
         const limit = monotonicNow() - intervalMilliseconds;
         return servers
-            .filter(({ id }) => !this.pending.has(id) && this.askedAt(id) <= limit)
+            .filter(({ id }) =>
+                !this.pending.has(id) && this.askedAt(id) <= limit && !this.dependencies.exclusions.isPaused(id)
+            )
             .sort((left, right) => this.askedAt(left.id) - this.askedAt(right.id));
     }
 
--- a/test/process/gateway/slowdown-survey.test.ts
+++ b/test/process/gateway/slowdown-survey.test.ts
@@ -17,6 +17,7 @@
 let answers: boolean;
 let slowdowns: ServerSlowdowns;
 let survey: SlowdownSurvey;
+const paused = new Set<string>();
 
 const ids = Array.from({ length: engineCount }, (_value, index) => `e${index}`);
 const knownSlow = () => ids.filter(id => slowdowns.isSlow(id));
@@ -26,6 +27,7 @@
     slow = () => false;
     asked = [];
     answers = true;
+    paused.clear();
     const logger = new SilentLogger();
     const registry = new ServerRegistry(0, logger);
     registry.replaceAll({
@@ -56,6 +58,7 @@
             },
         },
         slowdowns,
+        exclusions: { isPaused: id => paused.has(id) },
         failures,
         logger,
     });
@@ -87,6 +90,15 @@
         expect(knownSlow()).toEqual([]);
     });
 
+    test("does not ask an engine that has requested a pause", async () => {
+        paused.add("e7");
+        await jest.advanceTimersByTimeAsync(8_000);
+        expect(asked).not.toContain("e7");
+        paused.clear();
+        await jest.advanceTimersByTimeAsync(1_000);
+        expect(asked).toContain("e7");
+    });
+
     test("asks no more than a hundred engines a second, and forgets what nobody confirms", async () => {
         slow = () => true;
         await jest.advanceTimersByTimeAsync(4_000);
