Spread requests over servers and zones by what arrives before the loads are known again

Cause: engines fill within one notice interval. The memory cost of a part was weighted with its share of the layers, the cost of a standby server was not, so small parts were filled beyond their memory; all routers filled the emptiest engine until the next notice, then left it; and two of three requests left their zone whether it was full or not.

Change: a request assumes on each server a random part of the requests of the interval (DrawnUseMemoryCosts) and pays the fourth power of the use of each server. The decisions before stand beside them (KnownUseMemoryCosts, AnyZonePathFinder). The fleet simulation learns demand by zone and uneven zones.

--- a/src/request/gateway/layer-path-costs.ts
+++ b/src/request/gateway/layer-path-costs.ts
@@ -2,8 +2,8 @@
  * Costs of layer paths in milliseconds: the expected time of the request's tokens on each server, the hops between
  * parts, and penalties for standby servers, for memory use and for leaving an availability zone. Answers the load pattern
  * of many routers that all know the same loads, half a second late, and would all send the requests of that half second
- * to the same servers: each request draws the servers that it spares, the more likely the less room a server has for
- * the requests that arrive meanwhile.
+ * to the same servers: each request assumes that a part of these requests, drawn at random for each server, already
+ * runs there.
  */
 import type { RandomSource } from "../../common/random.js";
 import type { EngineProfile } from "../../domain/gateway/configuration.js";
@@ -32,12 +32,12 @@
 const sameZoneHopMilliseconds = 0.2;
 /**
  * A zone crossing uses bandwidth of a link that all requests share, and its traffic is billed. It costs about as much
- * as a path whose memory is full, so that paths leave a zone only for layers that no server of the zone holds.
+ * as a server whose memory is full, so that paths leave a zone only for layers that no server of the zone holds.
  */
 const zoneCrossingCostMilliseconds = 5_000;
 /**
  * Cost of using a standby server, or one that is spared in favour of other routers' requests: less than a zone crossing,
- * so that a zone with lost servers first uses its own servers, and more than a path whose memory is half full.
+ * so that a zone with lost servers first uses its own servers, and more than a server whose memory is half full.
  */
 const sparedServerCostMilliseconds = 1_600;
 /** Cost of a first part in another zone than the router's: one round trip between zones, and billed traffic. */
@@ -48,9 +48,7 @@
  * them.
  */
 const expectedTimeWeight = 0.3;
-/**
- * Cost of a path whose memory is full, twice the time of a typical response; grows with the square of the memory use.
- */
+/** Cost of a server, or with the baseline of a path, whose memory is full: twice the time of a typical response. */
 const fullMemoryCostMilliseconds = 5_000;
 /** Memory use of a server, as a share of its token capacity, above which requests may be preempted. */
 const memoryWatermark = 0.85;
@@ -58,39 +56,92 @@
 const preemptionCostMilliseconds = 2_000;
 /** Random share of a server's cost that spreads requests over servers of equal cost. */
 const serverJitterShare = 0.05;
-/** Random share of a zone's cost that spreads requests over zones of similar cost. */
-const zoneJitterShare = 0.5;
+/**
+ * A path is as full as its fullest server, so the costs of its servers are added up with a power that lets the fullest
+ * one decide: a server 1.2 times as full costs twice as much.
+ */
+const memoryUseExponent = 4;
 const bitsPerByte = 8;
 const bitsPerMegabit = 1e6;
 const millisecondsPerSecond = 1_000;
 
-/** Draws the costs of the servers for one request; returns them grouped by availability zone. */
+/** Memory of one server as a request finds it. */
+export interface ServerMemory {
+    /** Share of the server's token capacity that is in use with the request, by the last known loads. */
+    readonly knownUse: number;
+    /** `knownUse` with the requests that are assumed to have arrived since the loads were counted; may exceed 1. */
+    readonly drawnUse: number;
+}
+
+/** Decides what memory use costs, in milliseconds. */
+export interface MemoryCosts {
+    /** Cost of a path all of whose layers are on the server; the server's share of the layers applies. */
+    forAllLayers(memory: ServerMemory): number;
+    /** Cost of using the server for any number of layers. */
+    forServer(memory: ServerMemory): number;
+}
+
+/**
+ * Baseline: by the known loads, weighted with the server's share of the layers. Full servers that hold few layers hardly
+ * count, and all requests between two notices find the same cheapest path.
+ */
+export class KnownUseMemoryCosts implements MemoryCosts {
+    forAllLayers({ knownUse }: ServerMemory): number {
+        const aboveWatermark = Math.max(0, knownUse - memoryWatermark) / (1 - memoryWatermark);
+        return fullMemoryCostMilliseconds * knownUse ** 2 + preemptionCostMilliseconds * aboveWatermark;
+    }
+
+    forServer(): number {
+        return 0;
+    }
+}
+
+/**
+ * By the drawn loads, whatever number of layers the server holds, so that the fullest server of a path decides. Answers
+ * the load pattern of servers that fill within one notice interval: the requests of an interval spread over all servers
+ * with room instead of filling the one that was the emptiest.
+ */
+export class DrawnUseMemoryCosts implements MemoryCosts {
+    forAllLayers(): number {
+        return 0;
+    }
+
+    forServer({ drawnUse }: ServerMemory): number {
+        return fullMemoryCostMilliseconds * drawnUse ** memoryUseExponent;
+    }
+}
+
+/** Draws the costs of the servers for one request; returns them by availability zone. */
 export function drawServerCosts(
     servers: readonly PathServer[],
     engine: EngineProfile,
     size: RequestSize,
+    memoryCosts: MemoryCosts,
     random: RandomSource,
-): ServerCost[][] {
-    const zones = new Map<string, { readonly factor: number; readonly members: ServerCost[]; }>();
+): Map<string, ServerCost[]> {
+    const zones = new Map<string, ServerCost[]>();
     const arriving = estimateArrivingTokens(servers, engine, size);
+    const requestTokens = size.promptTokens + size.outputTokens;
     for (const server of servers) {
-        const { availabilityZone } = server.entry;
-        let zone = zones.get(availabilityZone);
-        if (zone === undefined) {
-            zone = { factor: 1 + zoneJitterShare * random.next(), members: [] };
-            zones.set(availabilityZone, zone);
-        }
-        const room = Math.max(0, memoryWatermark * server.tokenCapacity - server.tokens);
+        const { tokens, tokenCapacity, entry: { availabilityZone } } = server;
+        const drawnTokens = tokens + random.next() * arriving;
         // Of the requests that arrive before the next notice, the server is used by no more than it has room for.
-        const spared = server.standby || random.next() * arriving > room;
+        const spared = server.standby || drawnTokens > Math.max(tokens, memoryWatermark * tokenCapacity);
         const jitter = 1 + serverJitterShare * random.next();
-        zone.members.push({
+        const memory = {
+            knownUse: (tokens + requestTokens) / tokenCapacity,
+            drawnUse: (drawnTokens + requestTokens) / tokenCapacity,
+        };
+        const allLayersCost = computeExpectedTimeCost(server, engine, size) + memoryCosts.forAllLayers(memory);
+        const members = zones.get(availabilityZone) ?? [];
+        members.push({
             server,
-            layerCost: zone.factor * jitter * computeLayerCost(server, engine, size),
-            useCost: spared ? zone.factor * sparedServerCostMilliseconds : 0,
+            layerCost: jitter * allLayersCost / engine.layerCount,
+            useCost: memoryCosts.forServer(memory) + (spared ? sparedServerCostMilliseconds : 0),
         });
+        zones.set(availabilityZone, members);
     }
-    return [...zones.values()].map(({ members }) => members);
+    return zones;
 }
 
 /**
@@ -98,7 +149,11 @@
  * arrive as end, so the share of the running tokens that arrives is the interval's share of a request's duration on the
  * servers that run them.
  */
-function estimateArrivingTokens(servers: readonly PathServer[], engine: EngineProfile, size: RequestSize): number {
+export function estimateArrivingTokens(
+    servers: readonly PathServer[],
+    engine: EngineProfile,
+    size: RequestSize,
+): number {
     let layerTokens = 0;
     let stepMilliseconds = 0;
     for (const server of servers) {
@@ -129,12 +184,9 @@
     return { sameZone, crossZone, remoteStart: span.followsPart ? crossZone : remoteStartCostMilliseconds };
 }
 
-/** Cost of one layer on one server: weighted expected time for all tokens of the request, and memory penalties. */
-function computeLayerCost(server: PathServer, engine: EngineProfile, size: RequestSize): number {
+/** Weighted expected time for all tokens of the request, if all layers were on the server. */
+function computeExpectedTimeCost(server: PathServer, engine: EngineProfile, size: RequestSize): number {
     const decodeMilliseconds = size.outputTokens * computeStepMilliseconds(server, engine);
     const prefillMilliseconds = (size.promptTokens / engine.prefillTokensPerMillisecond) * server.prefillFactor;
-    const memoryUse = (server.tokens + size.promptTokens + size.outputTokens) / server.tokenCapacity;
-    const aboveWatermark = Math.max(0, memoryUse - memoryWatermark) / (1 - memoryWatermark);
-    const memoryCost = fullMemoryCostMilliseconds * memoryUse ** 2 + preemptionCostMilliseconds * aboveWatermark;
-    return (expectedTimeWeight * (decodeMilliseconds + prefillMilliseconds) + memoryCost) / engine.layerCount;
+    return expectedTimeWeight * (decodeMilliseconds + prefillMilliseconds);
 }
--- a/src/request/gateway/layer-path-finder.ts
+++ b/src/request/gateway/layer-path-finder.ts
@@ -1,16 +1,17 @@
 /**
  * Finds the cheapest pipeline of backend servers (layer path) for one request through the layers of a model. Servers
  * hold overlapping ranges, so a path may use only some of the layers that a server holds. A path crosses availability
- * zones only if no zone holds all layers: a crossing uses bandwidth that all requests share, and a zone that is full is
- * relieved by paths within the other zones.
+ * zones only if no zone holds all layers: a crossing uses bandwidth that all requests share, and a zone that is fuller
+ * than the others is relieved by paths within these.
  */
 import type { RandomSource } from "../../common/random.js";
 import type { EngineProfile } from "../../domain/gateway/configuration.js";
 import type { PathPart } from "../../domain/gateway/dialect.js";
 import type { ServerEntry } from "../../domain/gateway/server-entry.js";
 import { formatLayerRange, type LayerRange } from "../../domain/layers.js";
-import { drawServerCosts, hopCosts } from "./layer-path-costs.js";
+import { DrawnUseMemoryCosts, drawServerCosts, hopCosts, KnownUseMemoryCosts } from "./layer-path-costs.js";
 import { searchCheapestPath } from "./layer-path-search.js";
+import { rankZonesByUse } from "./path-zone-ranking.js";
 
 /** A candidate server with its last known load. */
 export interface PathServer {
@@ -84,7 +85,13 @@
     ): LayerPath | undefined;
 }
 
-export class CheapestLayerPathFinder implements LayerPathFinder {
+/** Random share of a zone's cost that spreads the baseline's requests over zones of similar cost. */
+const zoneJitterShare = 0.5;
+
+/** Baseline: the cheapest path of all zones by the known loads, wherever the request entered. */
+export class AnyZonePathFinder implements LayerPathFinder {
+    private readonly memoryCosts = new KnownUseMemoryCosts();
+
     constructor(private readonly random: RandomSource) {}
 
     find(
@@ -93,15 +100,40 @@
         size: RequestSize,
         span: PathSpan,
     ): LayerPath | undefined {
-        const zones = drawServerCosts(servers, engine, size, this.random);
+        const zones = drawServerCosts(servers, engine, size, this.memoryCosts, this.random);
         const hops = hopCosts(engine, size, span);
         let best: LayerPath | undefined;
-        for (const members of zones) {
+        for (const members of zones.values()) {
             const path = searchCheapestPath(members, span, hops);
-            if (path !== undefined && path.cost < (best?.cost ?? Infinity)) {
-                best = path;
+            const factor = 1 + zoneJitterShare * this.random.next();
+            if (path !== undefined && path.cost * factor < (best?.cost ?? Infinity)) {
+                best = { ...path, cost: path.cost * factor };
+            }
+        }
+        return best ?? searchCheapestPath([...zones.values()].flat(), span, hops);
+    }
+}
+
+/** Chooses the zone by how full it is, and the cheapest path within it. */
+export class CheapestLayerPathFinder implements LayerPathFinder {
+    private readonly memoryCosts = new DrawnUseMemoryCosts();
+
+    constructor(private readonly random: RandomSource) {}
+
+    find(
+        servers: readonly PathServer[],
+        engine: EngineProfile,
+        size: RequestSize,
+        span: PathSpan,
+    ): LayerPath | undefined {
+        const zones = drawServerCosts(servers, engine, size, this.memoryCosts, this.random);
+        const hops = hopCosts(engine, size, span);
+        for (const zone of rankZonesByUse(servers, engine, size, span, this.random)) {
+            const path = searchCheapestPath(zones.get(zone) ?? [], span, hops);
+            if (path !== undefined) {
+                return path;
             }
         }
-        return best ?? searchCheapestPath(zones.flat(), span, hops);
+        return searchCheapestPath([...zones.values()].flat(), span, hops);
     }
 }
--- a/src/stand-ins/engine-fleet/engine-fleet-simulation.ts
+++ b/src/stand-ins/engine-fleet/engine-fleet-simulation.ts
@@ -36,11 +36,16 @@
     readonly refused: number;
     /** Attempts that an engine refused for lack of memory. */
     readonly shedAttempts: number;
+    /** Requests that ran on a path whose first part was in another zone than their router. */
+    readonly leftZone: number;
     /** Completed requests whose tokens were slower than allowed at some time. */
     readonly late: number;
     readonly completed: number;
 }
 
+/** Requests per second that arrive at the routers of a zone at a time since the start of the simulation. */
+export type ZoneDemand = (zone: string, milliseconds: number) => number;
+
 interface RunningRequest {
     readonly path: LayerPath;
     readonly tokens: number;
@@ -58,10 +63,12 @@
     readonly engines: ReadonlyMap<string, SimulatedEngine>;
     private readonly registry: ServerRegistry;
     private readonly routers: readonly SimulatedRouter[];
+    private readonly zones: readonly string[];
     private readonly running = new Set<RunningRequest>();
     private counts = emptyCounts();
     private sinceNotice = 0;
-    private owedArrivals = 0;
+    private elapsed = 0;
+    private readonly owedArrivals = new Map<string, number>();
     private revision = 1;
 
     constructor(private readonly options: EngineFleetSimulationOptions) {
@@ -74,6 +81,7 @@
             afterOutage: false,
         });
         const zones = [...new Set(engines.map(({ availabilityZone }) => availabilityZone))];
+        this.zones = zones;
         this.routers = Array.from({ length: options.routers }, (_unused, index) =>
             new SimulatedRouter(
                 this.registry,
@@ -84,15 +92,25 @@
             ));
     }
 
-    /** Runs the fleet for the given time while requests arrive at a constant rate at routers drawn at random. */
-    run(milliseconds: number, requestsPerSecond: number): void {
-        for (let elapsed = 0; elapsed < milliseconds; elapsed += stepMilliseconds) {
+    /**
+     * Runs the fleet for the given time while requests arrive at routers drawn at random: at a constant rate in the whole
+     * fleet, or at the rate that `demand` returns for each zone.
+     */
+    run(milliseconds: number, demand: number | ZoneDemand): void {
+        const end = this.elapsed + milliseconds;
+        while (this.elapsed < end) {
             this.advanceRequests();
-            this.owedArrivals += requestsPerSecond * stepMilliseconds / millisecondsPerSecond;
-            for (; this.owedArrivals >= 1; this.owedArrivals--) {
-                this.beginRequest();
+            if (typeof demand === "number") {
+                this.beginRequests("", demand, this.routers);
+            }
+            else {
+                for (const zone of this.zones) {
+                    const routers = this.routers.filter(({ homeZone }) => homeZone === zone);
+                    this.beginRequests(zone, demand(zone, this.elapsed), routers);
+                }
             }
             this.options.advanceClock(stepMilliseconds);
+            this.elapsed += stepMilliseconds;
             this.sinceNotice += stepMilliseconds;
             if (this.sinceNotice >= this.options.noticeIntervalMilliseconds) {
                 this.sinceNotice = 0;
@@ -138,10 +156,18 @@
         return live.filter(({ runningRequests }) => runningRequests > 0).length / live.length;
     }
 
-    private beginRequest(): void {
-        const { random, profile } = this.options;
+    /** Begins the requests of one step; what is less than a request is owed to the next step of the same group. */
+    private beginRequests(group: string, requestsPerSecond: number, routers: readonly SimulatedRouter[]): void {
+        let owed = (this.owedArrivals.get(group) ?? 0) + requestsPerSecond * stepMilliseconds / millisecondsPerSecond;
+        for (; owed >= 1; owed--) {
+            this.beginRequest(routers[randomInteger(this.options.random, routers.length)]!);
+        }
+        this.owedArrivals.set(group, owed);
+    }
+
+    private beginRequest(router: SimulatedRouter): void {
+        const { profile } = this.options;
         this.counts.requests++;
-        const router = this.routers[randomInteger(random, this.routers.length)]!;
         const size = { promptTokens: profile.typicalPromptTokens, outputTokens: profile.typicalOutputTokens };
         const avoided = new Set<string>();
         for (let attempt = 0; attempt < maximumAttempts; attempt++) {
@@ -170,6 +196,7 @@
             return full.entry.id;
         }
         engines.forEach(engine => engine.begin(tokens));
+        this.counts.leftZone += Number(engines[0]!.entry.availabilityZone !== router.homeZone);
         this.running.add({
             path,
             tokens,
@@ -220,5 +247,5 @@
 }
 
 function emptyCounts() {
-    return { requests: 0, refused: 0, shedAttempts: 0, late: 0, completed: 0 };
+    return { requests: 0, refused: 0, shedAttempts: 0, leftZone: 0, late: 0, completed: 0 };
 }
--- a/src/stand-ins/engine-fleet/sample-fleets.ts
+++ b/src/stand-ins/engine-fleet/sample-fleets.ts
@@ -56,17 +56,40 @@
 
 /** Entries of the engines, with layers as planned. */
 export function createEngineFleet({ engines, availabilityZones }: FleetShape): ServerEntry[] {
-    const empty = Array.from({ length: engines }, (_unused, index): ServerEntry => ({
+    return planLayers(Array.from({ length: engines }, (_unused, index) =>
+        createEmptyEngine(
+            index,
+            `zone-${index % availabilityZones}`,
+            kindOf(Math.floor(index / availabilityZones)),
+        )));
+}
+
+/** For each availability zone, the number of its engines of each kind, in the order of `kinds`. */
+export type ZoneKindCounts = readonly (readonly number[])[];
+
+/** Entries of the engines of zones that differ in number and kinds, with layers as planned. */
+export function createUnevenEngineFleet(zones: ZoneKindCounts): ServerEntry[] {
+    const placed = zones.flatMap((counts, zone) =>
+        counts.flatMap((count, kind) => Array.from({ length: count }, () => ({ zone, kind: kinds[kind]! })))
+    );
+    return planLayers(placed.map(({ zone, kind }, index) => createEmptyEngine(index, `zone-${zone}`, kind)));
+}
+
+function createEmptyEngine(index: number, availabilityZone: string, kind: AcceleratorKind): ServerEntry {
+    return {
         id: `engine-${index}`,
         service: fleetService,
         address: { host: "127.0.0.1", port: index + 1 },
-        availabilityZone: `zone-${index % availabilityZones}`,
+        availabilityZone,
         bornAt: 1,
         slots: simulatedEngineProfile.slots,
         draining: false,
-        kind: kindOf(Math.floor(index / availabilityZones)).name,
+        kind: kind.name,
         layers: undefined,
-    }));
+    };
+}
+
+function planLayers(empty: readonly ServerEntry[]): ServerEntry[] {
     const planned = empty.map(({ id, availabilityZone, kind: kindName }) => {
         const kind = simulatedEngineProfile.kinds.get(kindName!)!;
         return {
--- a/src/stand-ins/engine-fleet/simulated-router.ts
+++ b/src/stand-ins/engine-fleet/simulated-router.ts
@@ -30,7 +30,7 @@
         registry: ServerRegistry,
         decisions: RoutingDecisions,
         random: RandomSource,
-        homeZone: string,
+        readonly homeZone: string,
         logger: Logger,
     ) {
         this.exclusions = new ServerExclusions(logger);
--- a/test/request/gateway/engine-fleet.test.ts
+++ b/test/request/gateway/engine-fleet.test.ts
@@ -1,12 +1,18 @@
 /** Replays load patterns of fleets of 10 to 216 engines against the path choice of many routers. */
 import { describe, expect, jest, test } from "@jest/globals";
 import { SilentLogger } from "../../../src/common/logger.js";
-import { SeededRandom } from "../../../src/common/random.js";
+import { type RandomSource, SeededRandom } from "../../../src/common/random.js";
+import type { ServerEntry } from "../../../src/domain/gateway/server-entry.js";
 import { HalfCopyStandby } from "../../../src/process/gateway/layer-placement/standby-servers.js";
-import { CheapestLayerPathFinder } from "../../../src/request/gateway/layer-path-finder.js";
+import {
+    AnyZonePathFinder,
+    CheapestLayerPathFinder,
+    type LayerPathFinder,
+} from "../../../src/request/gateway/layer-path-finder.js";
 import { EngineFleetSimulation } from "../../../src/stand-ins/engine-fleet/engine-fleet-simulation.js";
 import {
     createEngineFleet,
+    createUnevenEngineFleet,
     type FleetShape,
     simulatedEngineProfile,
 } from "../../../src/stand-ins/engine-fleet/sample-fleets.js";
@@ -16,18 +22,24 @@
 const warmUpMilliseconds = 3_000;
 const measuredMilliseconds = 3_000;
 
+type CreateFinder = (random: RandomSource) => LayerPathFinder;
+
+const present: CreateFinder = random => new CheapestLayerPathFinder(random);
+const baseline: CreateFinder = random => new AnyZonePathFinder(random);
+
 function createSimulation(shape: FleetShape, routers: number): EngineFleetSimulation {
+    return simulate(createEngineFleet(shape), routers, present);
+}
+
+function simulate(engines: readonly ServerEntry[], routers: number, createFinder: CreateFinder): EngineFleetSimulation {
     return new EngineFleetSimulation({
-        engines: createEngineFleet(shape),
+        engines,
         profile: simulatedEngineProfile,
         routers,
         noticeIntervalMilliseconds: 500,
         maximumTokenMilliseconds: 78,
         random: new SeededRandom(20261204),
-        decisions: {
-            standbyPolicy: new HalfCopyStandby(),
-            createFinder: random => new CheapestLayerPathFinder(random),
-        },
+        decisions: { standbyPolicy: new HalfCopyStandby(), createFinder },
         logger: new SilentLogger(),
         advanceClock: milliseconds => {
             jest.advanceTimersByTime(milliseconds);
@@ -90,3 +102,57 @@
     const simulation = createSimulation({ engines: 2, availabilityZones: 1 }, 2);
     expect(runSteadyLoad(simulation, 10)).toMatchObject({ completed: 0, refused: 30 });
 });
+
+describe("three zones with different engines, whose demand swings by 0.55 one after the other", () => {
+    const swing = 0.55;
+    const zones = [[2, 9, 22], [2, 15, 12], [4, 6, 14]];
+    const phases = new Map([["zone-0", 0.1], ["zone-1", 0.18], ["zone-2", 0.26]]);
+    const demandOfZone = (zone: string, milliseconds: number) =>
+        300 / zones.length * (1 + swing * Math.sin(2 * Math.PI * (milliseconds / 17_000 + phases.get(zone)!)));
+
+    /** Shares of the requests of the rising and the highest demand, 7 s in all. */
+    function replay(createFinder: CreateFinder, lose: (simulation: EngineFleetSimulation) => void = () => {}) {
+        const simulation = simulate(createUnevenEngineFleet(zones), 87, createFinder);
+        // The wave is at its lowest at first, and at its highest 8.5 s later.
+        const demand = (zone: string, milliseconds: number) => demandOfZone(zone, milliseconds + 9_000);
+        simulation.run(5_000, demand);
+        lose(simulation);
+        simulation.resetCounts();
+        simulation.run(7_000, demand);
+        const { requests, shedAttempts, leftZone, late, refused } = simulation.currentCounts;
+        return {
+            shed: shedAttempts / requests,
+            leftZone: leftZone / requests,
+            late,
+            refused,
+            arrivalPeak: simulation.arrivalPeak,
+        };
+    }
+
+    /** No more than the part of the demand that is above the mean has to move, averaged over the wave. */
+    const maximumLeftZone = swing / Math.PI;
+
+    test("engines fill evenly, and most requests stay in their zone", () => {
+        const { shed, leftZone, late, refused, arrivalPeak } = replay(present);
+        expect(shed).toBe(0);
+        expect(late + refused).toBe(0);
+        expect(leftZone).toBeLessThan(maximumLeftZone);
+        expect(arrivalPeak).toBeLessThan(maximumArrivalPeak);
+        const before = replay(baseline);
+        expect(before.shed).toBeGreaterThan(0);
+        expect(before.leftZone).toBeGreaterThan(maximumLeftZone);
+    });
+
+    test("the loss of five engines of a zone moves its requests before its other engines shed them", () => {
+        const loseFive = (simulation: EngineFleetSimulation) => {
+            const members = [...simulation.engines.keys()].filter(id =>
+                simulation.engines.get(id)!.entry.availabilityZone === "zone-1"
+            );
+            simulation.lose(members.slice(0, 5));
+        };
+        const { shed, late, refused } = replay(present, loseFive);
+        expect(shed).toBeLessThan(0.005);
+        expect(late + refused).toBe(0);
+        expect(replay(baseline, loseFive).shed).toBeGreaterThan(0.005);
+    });
+});
