--- a/test/support/router-process.ts
+++ b/test/support/router-process.ts
@@ -1,7 +1,7 @@
 /** The deployed program as a process of its own, on loopback. */
 import { build } from "esbuild";
 import { type ChildProcess, spawn } from "node:child_process";
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { mkdtempSync, readdirSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { request } from "node:http";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -32,7 +32,12 @@
         });
     }
 
-    addRouter(name: string, store: SocketAddress, bounds: Partial<GatewaySettings["bounds"]>): RouterProcess {
+    addRouter(
+        name: string,
+        store: SocketAddress,
+        bounds: Partial<GatewaySettings["bounds"]>,
+        machine: Partial<GatewaySettings["machine"]> = {},
+    ): RouterProcess {
         const [callers, readiness, peers, metrics] = Array.from(
             { length: portsPerRouter },
             () => `127.0.0.1:${nextPort++}`,
@@ -42,7 +47,7 @@
             listen: { callers, readiness, peers, metrics },
             contacts: [],
             store: { address: `${store.host}:${store.port}`, minimumLeaseMilliseconds: 1_000 },
-            machine: { maximumDescriptors: 1_000, memoryMegabytes: 200 },
+            machine: { maximumDescriptors: 1_000, memoryMegabytes: 200, ...machine },
             bounds: {
                 drainMilliseconds: 400,
                 shutdownGraceSeconds: 2,
@@ -83,7 +88,7 @@
     ) {}
 
     start(): void {
-        this.child = spawn(process.execPath, [this.program], {
+        this.child = spawn(process.execPath, [...deployedRuntimeOptions(), this.program], {
             env: { ...process.env, NODE_OPTIONS: "", POMELOSTALL_SETTINGS: this.settingsFile },
             stdio: ["ignore", "pipe", "pipe"],
         });
@@ -102,7 +107,7 @@
     /** Ends the process at once, and resolves when it has ended. */
     async kill(): Promise<void> {
         const child = this.child;
-        if (child === undefined || child.exitCode !== null || child.signalCode !== null) {
+        if (child === undefined || !this.isRunning) {
             return;
         }
         const ended = new Promise(resolve => child.once("exit", resolve));
@@ -110,11 +115,32 @@
         await ended;
     }
 
+    get isRunning(): boolean {
+        return this.child !== undefined && this.child.exitCode === null && this.child.signalCode === null;
+    }
+
+    /** Largest resident memory since the start, in MB of 1,024 x 1,024 bytes; 0 if the process has ended. */
+    get peakMegabytes(): number {
+        return this.isRunning
+            ? Number(/VmHWM:\s+(\d+)/.exec(readFileSync(`/proc/${this.child!.pid}/status`, "utf8"))?.[1]) / 1_024
+            : 0;
+    }
+
+    get openDescriptors(): number {
+        return this.isRunning ? readdirSync(`/proc/${this.child!.pid}/fd`).length : 0;
+    }
+
     async isReady(): Promise<boolean> {
         return await sendTo(this.readiness, "GET", "/ready", {}) === 200;
     }
 }
 
+/** Options of the runtime that the deploy file states. */
+function deployedRuntimeOptions(): string[] {
+    const run = /^run = "node (.*) target/m.exec(readFileSync("deploy/system.toml", "utf8"))?.[1];
+    return run!.split(" ");
+}
+
 /** Resolves to the status; 0 if there was no response. */
 export function sendTo(
     address: string,
