--- a/src/daemon/gateway/request-path.ts
+++ b/src/daemon/gateway/request-path.ts
@@ -1,6 +1,7 @@
 /** Composes request handling and layer placement, which share load and failure data on backend servers. */
 import type { FailureReporter } from "../../common/failure-boundary.js";
 import type { Logger } from "../../common/logger.js";
+import type { MemoryLedger } from "../../common/memory-ledger.js";
 import type { Metrics } from "../../common/metrics.js";
 import type { RandomSource } from "../../common/random.js";
 import { HttpServerControl } from "../../connection/gateway/http-server-control.js";
@@ -10,6 +11,7 @@
 import { RouterShares } from "../../process/customer-shares/router-shares.js";
 import { ServiceRoom } from "../../process/customer-shares/service-room.js";
 import { FairShares } from "../../process/customer-shares/weighted-shares.js";
+import type { ClientLimits } from "../../process/gateway/client-limits.js";
 import { FirstEventLatency } from "../../process/gateway/first-event-latency.js";
 import { FleetLoad } from "../../process/gateway/fleet-load.js";
 import { FleetRetryBudget } from "../../process/gateway/fleet-retry-budget.js";
@@ -46,6 +48,8 @@
     readonly state: GatewayState;
     /** Index of the active configuration; undefined before the first one. */
     configurationIndex(): GatewayConfigurationIndex | undefined;
+    readonly limits: ClientLimits;
+    readonly memory: MemoryLedger;
     readonly shutdown: ShutdownGrace;
     readonly random: RandomSource;
     readonly failures: FailureReporter;
@@ -137,6 +141,8 @@
             shares,
             firstEvents: new FirstEventLatency(),
         }),
+        limits: options.limits,
+        memory: options.memory,
         random,
         failures,
         metrics,
