--- a/src/process/request-costs/cost-table.ts
+++ b/src/process/request-costs/cost-table.ts
@@ -21,6 +21,11 @@
         return this.costs.size;
     }
 
+    /** Whether something has been recorded under the key. */
+    has(key: string): boolean {
+        return this.costs.has(key);
+    }
+
     estimate(keys: readonly string[], prior: CostPrior, predictor?: number): LogNormal {
         for (let index = keys.length - 1; index >= 0; index--) {
             const cost = this.costs.get(keys[index]!);
