Try a server again that was avoided for its pace

A server that was learnt to be slow gets few requests and so gives no observations: it would have been avoided long after it had recovered. What is known of its pace now fades to that of the others with a half-life of a minute.

The test of a server that gets no requests was red before.

--- a/src/process/request-costs/cost-table.ts
+++ b/src/process/request-costs/cost-table.ts
@@ -26,6 +26,11 @@
         return this.costs.has(key);
     }
 
+    /** Time since something was recorded under the key; 0 if nothing was. */
+    ageMilliseconds(key: string): number {
+        return this.costs.get(key)?.ageMilliseconds ?? 0;
+    }
+
     estimate(keys: readonly string[], prior: CostPrior, predictor?: number): LogNormal {
         for (let index = keys.length - 1; index >= 0; index--) {
             const cost = this.costs.get(keys[index]!);
--- a/src/process/request-costs/learned-cost.ts
+++ b/src/process/request-costs/learned-cost.ts
@@ -87,9 +87,13 @@
         this.observedAt = monotonicNow();
     }
 
+    /** Time since the last observation. */
+    get ageMilliseconds(): number {
+        return Math.max(0, monotonicNow() - this.observedAt);
+    }
+
     private ageWeight(): number {
-        const age = Math.max(0, monotonicNow() - this.observedAt);
-        return Math.max(1, this.weight * 2 ** (-age / halfLifeMilliseconds));
+        return Math.max(1, this.weight * 2 ** (-this.ageMilliseconds / halfLifeMilliseconds));
     }
 
     /** Logarithm of the predictor, brought near to what is usual, so that one odd value has no leverage. */
--- a/src/process/request-costs/learned-request-costs.ts
+++ b/src/process/request-costs/learned-request-costs.ts
@@ -42,11 +42,17 @@
 };
 
 /**
- * Servers whose run times differ by less than a factor of two are taken to be alike: queues and chance make such differences, and a
- * choice that followed them would make longer queues elsewhere.
+ * Servers whose run times differ by less than a factor of two are taken to be alike: queues and chance make such differences,
+ * and a choice that followed them would make longer queues elsewhere.
  */
 const distinctLogFactor = Math.log(2);
 
+/**
+ * A server that is avoided for its pace gives no observations, so what is known of it fades: one that was eight times slower is
+ * tried again after a minute and a half.
+ */
+const paceHalfLifeMilliseconds = 60_000;
+
 export class LearnedRequestCosts implements RequestCostEstimator {
     private readonly outputs = new CostTable();
     private readonly runTimes = new CostTable();
@@ -94,7 +100,8 @@
 
     private serverFactor(serverId: string): number {
         const { logMean } = this.serverFactors.estimate([serverId], serverFactorPrior);
-        return Math.abs(logMean) < distinctLogFactor ? 1 : Math.exp(logMean);
+        const faded = logMean * 2 ** (-this.serverFactors.ageMilliseconds(serverId) / paceHalfLifeMilliseconds);
+        return Math.abs(faded) < distinctLogFactor ? 1 : Math.exp(faded);
     }
 }
 
--- a/test/process/request-costs/learned-request-costs.test.ts
+++ b/test/process/request-costs/learned-request-costs.test.ts
@@ -180,6 +180,21 @@
         expect(expected()).toBeGreaterThan(before);
     });
 
+    test("a server that was slow and gets no requests for it is tried again", () => {
+        const costs = new LearnedRequestCosts();
+        const usual = (id: string) => costs.usualRunMilliseconds("app", id);
+        for (let index = 0; index < 30; index++) {
+            costs.recordRunTime({ ...run, milliseconds: 50, complete: true });
+            costs.recordRunTime({ ...run, serverId: "b", milliseconds: 50, complete: true });
+            costs.recordRunTime({ ...run, serverId: "slow", milliseconds: 400, complete: true });
+        }
+        expect(usual("slow")).toBeGreaterThan(2 * usual("a"));
+        jest.advanceTimersByTime(120_000);
+        expect(usual("slow")).toBe(usual("a"));
+        costs.recordRunTime({ ...run, serverId: "slow", milliseconds: 400, complete: true });
+        expect(usual("slow")).toBeGreaterThan(2 * usual("a"));
+    });
+
     test("a server that takes eight times as long as the others is told apart, and its pace returns", () => {
         const costs = new LearnedRequestCosts();
         const record = (serverId: string, milliseconds: number) =>
