--- a/test/process/request-costs/learned-request-costs.test.ts
+++ b/test/process/request-costs/learned-request-costs.test.ts
@@ -110,16 +110,14 @@
     });
 
     test("what was learnt yields to new observations after an hour without any", () => {
-        const costs = new LearnedRequestCosts();
-        Array.from({ length: 100 }, () => costs.recordOutput(query(), 100));
-        const moveOf = (observed: number) => {
-            const before = costs.estimateOutput(query()).meanTokens;
-            costs.recordOutput(query(), observed);
-            return costs.estimateOutput(query()).meanTokens / before;
+        const learnAfter = (milliseconds: number) => {
+            const costs = new LearnedRequestCosts();
+            Array.from({ length: 100 }, () => costs.recordOutput(query(), 100));
+            jest.advanceTimersByTime(milliseconds);
+            costs.recordOutput(query(), 120);
+            return costs.estimateOutput(query()).meanTokens;
         };
-        const move = moveOf(200);
-        jest.advanceTimersByTime(4 * 3_600_000);
-        expect(moveOf(200)).toBeGreaterThan(move);
+        expect(learnAfter(4 * 3_600_000)).toBeGreaterThan(learnAfter(1_000) + 2);
     });
 
     test("one observation, however odd, moves an estimate by a bounded factor", () => {
@@ -182,6 +180,21 @@
         expect(expected()).toBeGreaterThan(before);
     });
 
+    test("a server that was slow and gets no requests for it is tried again", () => {
+        const costs = new LearnedRequestCosts();
+        const usual = (id: string) => costs.usualRunMilliseconds("app", id);
+        for (let index = 0; index < 30; index++) {
+            costs.recordRunTime({ ...run, milliseconds: 50, complete: true });
+            costs.recordRunTime({ ...run, serverId: "b", milliseconds: 50, complete: true });
+            costs.recordRunTime({ ...run, serverId: "slow", milliseconds: 400, complete: true });
+        }
+        expect(usual("slow")).toBeGreaterThan(2 * usual("a"));
+        jest.advanceTimersByTime(120_000);
+        expect(usual("slow")).toBe(usual("a"));
+        costs.recordRunTime({ ...run, serverId: "slow", milliseconds: 400, complete: true });
+        expect(usual("slow")).toBeGreaterThan(2 * usual("a"));
+    });
+
     test("a server that takes eight times as long as the others is told apart, and its pace returns", () => {
         const costs = new LearnedRequestCosts();
         const record = (serverId: string, milliseconds: number) =>
