Count a failed attempt at a plain service as load of its server for 2 s

Cause: a server that fails requests at once seems the least loaded and draws more of them, and each of many routers sees too few plain requests to tell it from the sound ones.

Change: HeldFailedAttemptLoad, beside the baseline NoFailedAttemptLoad; what the forwarder holds reaches all routers with the loads that they exchange anyway. No server is taken out. The test of requests that cannot be sent also asserts that these hold nothing.

--- a/src/daemon/gateway/request-path.ts
+++ b/src/daemon/gateway/request-path.ts
@@ -18,6 +18,7 @@
 import type { GatewaySettings } from "../../process/gateway/settings.js";
 import type { ShutdownGrace } from "../../process/gateway/shutdown-grace.js";
 import { WindowedRetryBudget } from "../../process/gateway/windowed-retry-budget.js";
+import { HeldFailedAttemptLoad } from "../../request/gateway/failed-attempt-load.js";
 import { GatewayHandler } from "../../request/gateway/gateway-handler.js";
 import { GatewayHeaders } from "../../request/gateway/headers.js";
 import { LayerPathChooser } from "../../request/gateway/layer-path-chooser.js";
@@ -102,7 +103,11 @@
         dialect,
         configurationIndex: () => options.configurationIndex(),
         shutdown: options.shutdown,
-        plainForwarder: new PlainForwarder({ ...shared, servers }),
+        plainForwarder: new PlainForwarder({
+            ...shared,
+            servers,
+            failedAttemptLoad: new HeldFailedAttemptLoad(),
+        }),
         streamForwarder: new StreamForwarder({
             ...shared,
             paths,
--- a/src/request/gateway/plain-forwarder.ts
+++ b/src/request/gateway/plain-forwarder.ts
@@ -5,7 +5,7 @@
  * not run it.
  */
 import { monotonicNow } from "../../common/clock.js";
-import type { FailureReporter } from "../../common/failure-boundary.js";
+import type { FailureBoundary, FailureReporter } from "../../common/failure-boundary.js";
 import type { Logger } from "../../common/logger.js";
 import type { Metrics } from "../../common/metrics.js";
 import { type BufferedResponse, readResponse } from "../../connection/gateway/read-response.js";
@@ -30,6 +30,7 @@
 import type { CallerResponse } from "./caller-response.js";
 import { CrashGuard, type CrashGuardDependencies, refuseBlockedPrompt } from "./crash-guard.js";
 import { hasPassed } from "./deadline.js";
+import type { FailedAttemptLoad } from "./failed-attempt-load.js";
 import type { GatewayHeaders } from "./headers.js";
 import { impliesNotRun } from "./not-run-statuses.js";
 import type { PlainServerChooser } from "./plain-server-chooser.js";
@@ -42,6 +43,7 @@
     readonly headers: GatewayHeaders;
     readonly servers: PlainServerChooser;
     readonly load: LocalServerLoad;
+    readonly failedAttemptLoad: FailedAttemptLoad;
     readonly exclusions: ServerExclusions;
     readonly retries: WindowedRetryBudget;
     readonly retryAdvice: RetryAdvice;
@@ -80,7 +82,11 @@
 ]);
 
 export class PlainForwarder {
-    constructor(private readonly dependencies: PlainForwarderDependencies) {}
+    private readonly boundary: FailureBoundary;
+
+    constructor(private readonly dependencies: PlainForwarderDependencies) {
+        this.boundary = dependencies.failures.createBoundary("load of failed service attempts");
+    }
 
     /** Throws a PomelostallError if there is no response to forward. */
     async forward(request: GatewayRequest, response: CallerResponse): Promise<void> {
@@ -146,6 +152,7 @@
     private async attempt(request: GatewayRequest, server: ServerEntry, crashGuard: CrashGuard): Promise<Attempt> {
         const { dependencies } = this;
         const endLoad = dependencies.load.beginRequest([server.id], 0);
+        let failedAtServer = false;
         const sentAt = monotonicNow();
         let attempt: Attempt;
         try {
@@ -163,6 +170,7 @@
                 maximumBytes: maximumResponseBytes,
             });
             const verdict = checkResponse(answer.head, request.id, dependencies.dialect.headers);
+            failedAtServer = verdict !== ResponseVerdict.answered || answer.head.status >= lowestServerErrorStatus;
             if (verdict === ResponseVerdict.answered) {
                 crashGuard.recordSurvival();
             }
@@ -177,6 +185,7 @@
             if (error.failure === ConnectionFailure.broken) {
                 crashGuard.recordBreak(server, false);
             }
+            failedAtServer = !gatewayFailures.has(error.failure);
             const verdict = error.bytesWritten ? ResponseVerdict.invalid : ResponseVerdict.notRun;
             attempt = {
                 verdict,
@@ -185,12 +194,22 @@
             };
         }
         finally {
-            endLoad();
+            this.endLoad(endLoad, failedAtServer);
         }
         this.recordAttempt(request, server, attempt, sentAt);
         return attempt;
     }
 
+    private endLoad(endLoad: () => void, failedAtServer: boolean): void {
+        const { heldMilliseconds } = this.dependencies.failedAttemptLoad;
+        if (!failedAtServer || heldMilliseconds === 0) {
+            endLoad();
+            return;
+        }
+        this.dependencies.metrics.increment("pomelostall.gateway.service_failures_held");
+        setTimeout(this.boundary.wrap(endLoad), heldMilliseconds).unref();
+    }
+
     private finishWithoutSuccess(
         request: GatewayRequest,
         serverError: BufferedResponse | undefined,
--- a/test/request/gateway/plain-server-chooser.test.ts
+++ b/test/request/gateway/plain-server-chooser.test.ts
@@ -4,6 +4,11 @@
 import { randomInteger, SeededRandom } from "../../../src/common/random.js";
 import { ServerExclusions } from "../../../src/process/gateway/server-exclusions.js";
 import { ServerRegistry } from "../../../src/process/gateway/server-registry.js";
+import {
+    type FailedAttemptLoad,
+    HeldFailedAttemptLoad,
+    NoFailedAttemptLoad,
+} from "../../../src/request/gateway/failed-attempt-load.js";
 import {
     LeastLoadedPolicy,
     type PlainServerPolicy,
@@ -24,8 +29,20 @@
 const ownLoadOnly: CreatePolicy = (own, _fleet, random) => new LeastLoadedPolicy(own, random);
 const twoChoices: CreatePolicy = (_own, fleet, random) => new TwoChoicesPolicy(fleet, random);
 
-/** Requests in each server over 30 s, in steps of 10 ms; server `a` takes `slowFactor` times as long as the others. */
-function replay(createPolicy: CreatePolicy, slowFactor: number) {
+/** How server `a` differs from the others. */
+interface Fault {
+    /** Its time of a request, relative to the others'. */
+    readonly slowFactor: number;
+    /** Share of its requests that it fails at once. */
+    readonly failedShare?: number;
+    readonly failedAttemptLoad?: FailedAttemptLoad;
+}
+
+/** Requests in each server over 30 s, in steps of 10 ms. */
+function replay(
+    createPolicy: CreatePolicy,
+    { slowFactor, failedShare = 0, failedAttemptLoad = new NoFailedAttemptLoad() }: Fault,
+) {
     const random = new SeededRandom(20261204);
     const running = new Map(servers.map(({ id }) => [id, [] as number[]]));
     let atNotice = new Map<string, number>();
@@ -33,6 +50,7 @@
     const own = Array.from({ length: routerTotal }, () => new Map<string, number[]>());
     const arrivals = new Map(servers.map(({ id }) => [id, 0]));
     let longestQueue = 0;
+    let failed = 0;
     for (let now = 0; now < 30_000; now += 10) {
         for (const [id, ends] of running) {
             running.set(id, ends.filter(end => end > now));
@@ -48,7 +66,11 @@
             const { id } = createPolicy(ownCounts, fleet, random).select(servers)!;
             const ends = running.get(id)!;
             const startsAt = ends.length < slots ? now : [...ends].sort((left, right) => left - right).at(-slots)!;
-            const end = startsAt + 71 * (id === "a" ? slowFactor : 1);
+            const fails = id === "a" && random.next() < failedShare;
+            const end = fails
+                ? now + failedAttemptLoad.heldMilliseconds
+                : startsAt + 71 * (id === "a" ? slowFactor : 1);
+            failed += Number(fails);
             ends.push(end);
             router.set(id, [...router.get(id) ?? [], end]);
             arrivals.set(id, arrivals.get(id)! + 1);
@@ -56,17 +78,17 @@
         }
     }
     const total = [...arrivals.values()].reduce((sum, count) => sum + count, 0);
-    return { slowShare: arrivals.get("a")! / total, longestQueue };
+    return { slowShare: arrivals.get("a")! / total, failedShare: failed / total, longestQueue };
 }
 
 describe("TwoChoicesPolicy", () => {
     test("a server that takes 20 times as long gets less than half of an equal share", () => {
-        expect(replay(twoChoices, 20).slowShare).toBeLessThan(0.1);
-        expect(replay(ownLoadOnly, 20).slowShare).toBeGreaterThan(0.15);
+        expect(replay(twoChoices, { slowFactor: 20 }).slowShare).toBeLessThan(0.1);
+        expect(replay(ownLoadOnly, { slowFactor: 20 }).slowShare).toBeGreaterThan(0.15);
     });
 
     test("equal servers keep equal shares, and no request waits for a slot", () => {
-        const { slowShare, longestQueue } = replay(twoChoices, 1);
+        const { slowShare, longestQueue } = replay(twoChoices, { slowFactor: 1 });
         expect(slowShare).toBeGreaterThan(0.15);
         expect(slowShare).toBeLessThan(0.25);
         expect(longestQueue).toBeLessThanOrEqual(slots);
@@ -79,6 +101,23 @@
     });
 });
 
+describe("HeldFailedAttemptLoad", () => {
+    const replayFailures = (failedShare: number, failedAttemptLoad: FailedAttemptLoad) =>
+        replay(twoChoices, { slowFactor: 1, failedShare, failedAttemptLoad });
+
+    test.each([0.45, 1])(
+        "a server that fails %p of its requests at once gets less than half of an equal share",
+        share => {
+            expect(replayFailures(share, new HeldFailedAttemptLoad()).slowShare).toBeLessThan(0.1);
+            expect(replayFailures(share, new NoFailedAttemptLoad()).slowShare).toBeGreaterThan(0.2);
+        },
+    );
+
+    test("a server that fails as rarely as any keeps more than half of an equal share", () => {
+        expect(replayFailures(0.004, new HeldFailedAttemptLoad()).slowShare).toBeGreaterThan(0.1);
+    });
+});
+
 describe("PreferredServerChooser", () => {
     test("a server that requested a pause is not chosen, also if it is the only one or is leaving", () => {
         const logger = new SilentLogger();
--- a/test/request/gateway/unsendable-requests.test.ts
+++ b/test/request/gateway/unsendable-requests.test.ts
@@ -15,6 +15,7 @@
 import { ShutdownGrace } from "../../../src/process/gateway/shutdown-grace.js";
 import { WindowedRetryBudget } from "../../../src/process/gateway/windowed-retry-budget.js";
 import { CallerResponse } from "../../../src/request/gateway/caller-response.js";
+import { HeldFailedAttemptLoad } from "../../../src/request/gateway/failed-attempt-load.js";
 import { GatewayHeaders } from "../../../src/request/gateway/headers.js";
 import type { LayerPathChooser } from "../../../src/request/gateway/layer-path-chooser.js";
 import type { LayerPath } from "../../../src/request/gateway/layer-path-finder.js";
@@ -79,10 +80,12 @@
 }
 
 describe("a request that the runtime refuses to send", () => {
-    test("to a plain service has not run, and excludes no server from the requests of others", async () => {
+    test("to a plain service has not run, and neither excludes a server nor counts as its load as a failure there does", async () => {
         const exclusions = new ServerExclusions(new SilentLogger());
+        const dependencies = shared(exclusions);
         const forwarder = new PlainForwarder({
-            ...shared(exclusions),
+            ...dependencies,
+            failedAttemptLoad: new HeldFailedAttemptLoad(),
             servers: {
                 choose: (_service, tried): ServerEntry | undefined => tried.has(server.id) ? undefined : server,
                 pauseMilliseconds: () => 0,
@@ -91,6 +94,11 @@
         const response = new CallerResponse({} as ServerResponse, () => false, boundary);
         await expect(forwarder.forward(createRequest(), response)).rejects.toBeInstanceOf(NoServerAvailableError);
         expect(exclusions.isExcluded(server.id)).toBe(false);
+        expect(dependencies.load.requests(server.id)).toBe(0);
+        // Nothing listens on the server's port, so a request that can be sent fails there.
+        const sendable = { ...createRequest(), customer: "customer" };
+        await expect(forwarder.forward(sendable, response)).rejects.toBeInstanceOf(NoServerAvailableError);
+        expect(dependencies.load.requests(server.id)).toBe(1);
     });
 
     test("as a stream has not run, and excludes no server from the requests of others", async () => {
