Assume that a tenth of the fleet's capacity arrives before the next notice while the loads say less

Cause: after a start of all routers every engine seems empty and no arrivals are expected, so that all routers begin their first requests on the same fast engines.

Change: estimateArrivingTokens returns at least minimumArrivingShare of the fleet's token capacity.

With a share of 0 the new replay in engine-fleet.test.ts is red.

--- a/src/request/gateway/layer-path-costs.ts
+++ b/src/request/gateway/layer-path-costs.ts
@@ -144,6 +144,12 @@
     return zones;
 }
 
+/**
+ * Least part of the fleet's token capacity that is assumed to arrive before the next notice: what arrives at a fleet that
+ * is half full of requests that last five notices. It holds while the loads say nothing, as after a start of all routers.
+ */
+const minimumArrivingShare = 0.1;
+
 /**
  * Tokens of the requests that all routers together send before the next notice. In a steady state as many requests
  * arrive as end, so the share of the running tokens that arrives is the interval's share of a request's duration on the
@@ -155,17 +161,22 @@
     size: RequestSize,
 ): number {
     let layerTokens = 0;
+    let layerCapacity = 0;
     let stepMilliseconds = 0;
     for (const server of servers) {
-        const weight = server.tokens * layerCount(server.layers);
+        const layers = layerCount(server.layers);
+        const weight = server.tokens * layers;
         layerTokens += weight;
+        layerCapacity += server.tokenCapacity * layers;
         stepMilliseconds += weight * computeStepMilliseconds(server, engine);
     }
+    const minimum = minimumArrivingShare * layerCapacity / engine.layerCount;
     if (layerTokens <= 0) {
-        return 0;
+        return minimum;
     }
     const durationMilliseconds = size.outputTokens * stepMilliseconds / layerTokens;
-    return (layerTokens / engine.layerCount) * Math.min(1, noticeIntervalMilliseconds / durationMilliseconds);
+    const share = Math.min(1, noticeIntervalMilliseconds / durationMilliseconds);
+    return Math.max(minimum, share * layerTokens / engine.layerCount);
 }
 
 /** Duration of a decoding step through all layers of the model, if all of them were on the server. */
--- a/test/request/gateway/engine-fleet.test.ts
+++ b/test/request/gateway/engine-fleet.test.ts
@@ -155,4 +155,19 @@
         expect(late + refused).toBe(0);
         expect(replay(baseline, loseFive).shed).toBeGreaterThan(0.005);
     });
+
+    function replayStart(createFinder: CreateFinder) {
+        const simulation = simulate(createUnevenEngineFleet(zones), 87, createFinder);
+        simulation.run(500, 1_000);
+        const { requests, shedAttempts, refused } = simulation.currentCounts;
+        return { shed: shedAttempts / requests, refused, arrivalPeak: simulation.arrivalPeak };
+    }
+
+    test("routers that have all just started do not send the first requests to the same engines", () => {
+        const { shed, refused, arrivalPeak } = replayStart(present);
+        expect(shed).toBe(0);
+        expect(refused).toBe(0);
+        expect(arrivalPeak).toBeLessThan(maximumArrivalPeak);
+        expect(replayStart(baseline).shed).toBeGreaterThan(0);
+    });
 });
