--- a/src/daemon/gateway/request-path.ts
+++ b/src/daemon/gateway/request-path.ts
@@ -27,6 +27,7 @@
 import { SlowdownSurvey } from "../../process/gateway/slowdown-survey.js";
 import { WindowedRetryBudget } from "../../process/gateway/windowed-retry-budget.js";
 import { LearnedRequestCosts } from "../../process/request-costs/learned-request-costs.js";
+import { HeldFailedAttemptLoad } from "../../request/gateway/failed-attempt-load.js";
 import { GatewayHandler } from "../../request/gateway/gateway-handler.js";
 import { GatewayHeaders } from "../../request/gateway/headers.js";
 import { LayerPathChooser } from "../../request/gateway/layer-path-chooser.js";
@@ -130,7 +131,11 @@
         dialect,
         configurationIndex: () => options.configurationIndex(),
         shutdown: options.shutdown,
-        plainForwarder: new PlainForwarder({ ...shared, servers }),
+        plainForwarder: new PlainForwarder({
+            ...shared,
+            servers,
+            failedAttemptLoad: new HeldFailedAttemptLoad(),
+        }),
         streamForwarder: new StreamForwarder({
             ...shared,
             paths,
--- a/src/process/gateway/local-server-load.ts
+++ b/src/process/gateway/local-server-load.ts
@@ -19,6 +19,12 @@
     readonly runTime: RunTimeEstimate;
 }
 
+/**
+ * A stream's count is brought up to date each time that it has generated this share of the expected output: what is left changes
+ * little in between, and routers have small shares of a core.
+ */
+const updateShare = 0.25;
+
 export class LocalServerLoad {
     private readonly loadsByServer = new Map<string, RunningLoad>();
     private readonly plainRequests = new Map<string, Set<RunningPlainRequest>>();
@@ -67,9 +73,14 @@
     beginStream(serverIds: readonly string[], promptTokens: number, output: OutputEstimate): RunningStream {
         let tokens = wholeTokens(promptTokens, output, 0);
         let ended = false;
+        let nextUpdateAt = output.meanTokens * updateShare;
         serverIds.forEach(id => this.change(id, 1, tokens));
         return {
             recordOutput: generatedTokens => {
+                if (generatedTokens < nextUpdateAt) {
+                    return;
+                }
+                nextUpdateAt = generatedTokens + output.meanTokens * updateShare;
                 const expected = wholeTokens(promptTokens, output, generatedTokens);
                 if (!ended && expected !== tokens) {
                     serverIds.forEach(id => this.change(id, 0, expected - tokens));
--- a/src/process/request-costs/log-normal.ts
+++ b/src/process/request-costs/log-normal.ts
@@ -37,23 +37,28 @@
     return Math.max(value, mean);
 }
 
+/** From the highest power to the lowest. */
+const tailCoefficients = [
+    0.17087277,
+    -0.82215223,
+    1.48851587,
+    -1.13520398,
+    0.27886807,
+    -0.18628806,
+    0.09678418,
+    0.37409196,
+    1.00002368,
+    -1.26551223,
+];
+
 /** Probability that a standard normal variable exceeds the value, by the Chebyshev fit of erfc in Numerical Recipes. */
 export function normalTail(value: number): number {
     const scaled = Math.abs(value) / Math.SQRT2;
     const t = 1 / (1 + scaled / 2);
-    const coefficients = [
-        0.17087277,
-        -0.82215223,
-        1.48851587,
-        -1.13520398,
-        0.27886807,
-        -0.18628806,
-        0.09678418,
-        0.37409196,
-        1.00002368,
-        -1.26551223,
-    ];
-    const polynomial = coefficients.reduce((sum, coefficient) => sum * t + coefficient, 0);
+    let polynomial = 0;
+    for (const coefficient of tailCoefficients) {
+        polynomial = polynomial * t + coefficient;
+    }
     const tail = t * Math.exp(polynomial - scaled ** 2) / 2;
     return value >= 0 ? tail : 1 - tail;
 }
--- a/src/request/gateway/plain-forwarder.ts
+++ b/src/request/gateway/plain-forwarder.ts
@@ -5,7 +5,7 @@
  * not run it.
  */
 import { monotonicNow } from "../../common/clock.js";
-import type { FailureReporter } from "../../common/failure-boundary.js";
+import type { FailureBoundary, FailureReporter } from "../../common/failure-boundary.js";
 import type { Logger } from "../../common/logger.js";
 import type { Metrics } from "../../common/metrics.js";
 import { type BufferedResponse, readResponse } from "../../connection/gateway/read-response.js";
@@ -31,6 +31,7 @@
 import type { CallerResponse } from "./caller-response.js";
 import { CrashGuard, type CrashGuardDependencies, refuseBlockedPrompt } from "./crash-guard.js";
 import { hasPassed } from "./deadline.js";
+import type { FailedAttemptLoad } from "./failed-attempt-load.js";
 import type { GatewayHeaders } from "./headers.js";
 import { impliesNotRun } from "./not-run-statuses.js";
 import type { PlainServerChooser } from "./plain-server-chooser.js";
@@ -44,6 +45,7 @@
     readonly servers: PlainServerChooser;
     readonly load: LocalServerLoad;
     readonly costs: RequestCostEstimator;
+    readonly failedAttemptLoad: FailedAttemptLoad;
     readonly exclusions: ServerExclusions;
     readonly retries: WindowedRetryBudget;
     readonly retryAdvice: RetryAdvice;
@@ -89,7 +91,11 @@
 ]);
 
 export class PlainForwarder {
-    constructor(private readonly dependencies: PlainForwarderDependencies) {}
+    private readonly boundary: FailureBoundary;
+
+    constructor(private readonly dependencies: PlainForwarderDependencies) {
+        this.boundary = dependencies.failures.createBoundary("load of failed service attempts");
+    }
 
     /** Throws a PomelostallError if there is no response to forward. */
     async forward(request: GatewayRequest, response: CallerResponse): Promise<void> {
@@ -157,6 +163,7 @@
         const origin = { service: request.service, route: request.route.name, customer: request.customer };
         const runTime = dependencies.costs.estimateRunTime(origin, server.id);
         const endLoad = dependencies.load.beginPlainRequest(server.id, runTime);
+        let failedAtServer = false;
         const sentAt = monotonicNow();
         let attempt: Attempt;
         try {
@@ -175,6 +182,7 @@
                 memory: request.memory,
             });
             const verdict = checkResponse(answer.head, request.id, dependencies.dialect.headers);
+            failedAtServer = verdict !== ResponseVerdict.answered || answer.head.status >= lowestServerErrorStatus;
             if (verdict === ResponseVerdict.answered) {
                 crashGuard.recordSurvival();
             }
@@ -189,6 +197,7 @@
             if (error.failure === ConnectionFailure.broken) {
                 crashGuard.recordBreak(server, false);
             }
+            failedAtServer = !gatewayFailures.has(error.failure);
             const verdict = error.bytesWritten ? ResponseVerdict.invalid : ResponseVerdict.notRun;
             attempt = {
                 verdict,
@@ -198,13 +207,23 @@
             };
         }
         finally {
-            endLoad();
+            this.endLoad(endLoad, failedAtServer);
         }
         this.recordRunTime(origin, server.id, attempt, sentAt);
         this.recordAttempt(request, server, attempt, sentAt, runTime.meanMilliseconds);
         return attempt;
     }
 
+    private endLoad(endLoad: () => void, failedAtServer: boolean): void {
+        const { heldMilliseconds } = this.dependencies.failedAttemptLoad;
+        if (!failedAtServer || heldMilliseconds === 0) {
+            endLoad();
+            return;
+        }
+        this.dependencies.metrics.increment("pomelostall.gateway.service_failures_held");
+        setTimeout(this.boundary.wrap(endLoad), heldMilliseconds).unref();
+    }
+
     private finishWithoutSuccess(
         request: GatewayRequest,
         serverError: BufferedResponse | undefined,
