--- a/test/support/router-process.ts
+++ b/test/support/router-process.ts
@@ -99,8 +99,8 @@
         }
     }
 
-    /** Sends the signal, which does not end the process. */
-    signal(signal: "SIGSTOP" | "SIGCONT" | "SIGTERM"): void {
+    /** Sends the signal, which does not end the process at once. */
+    signal(signal: "SIGSTOP" | "SIGCONT" | "SIGTERM" | "SIGINT"): void {
         this.child!.kill(signal);
     }
 
