--- a/src/request/admission/fair-admission.ts
+++ b/src/request/admission/fair-admission.ts
@@ -8,6 +8,7 @@
 import { CallerGoneError, DeadlineUnreachableError, LimitExceededError, Outcome } from "../../errors/index.js";
 import type { CustomerLimits } from "../../process/customer-limits/customer-limits.js";
 import { RateMeter } from "../../process/customer-limits/rate-meter.js";
+import { catchUpMilliseconds } from "../../process/customer-shares/constants.js";
 import { FairQueue, type QueueEntry } from "../../process/customer-shares/fair-queue.js";
 import type { AdaptiveTokenLimit } from "./adaptive-token-limit.js";
 import { maximumQueuedRequests, maximumQueueMilliseconds } from "./constants.js";
@@ -18,8 +19,6 @@
 const serviceRateWindowMilliseconds = 3_000;
 const millisecondsPerSecond = 1000;
 const maximumRetryAfterSeconds = 60;
-/** A customer that used less than its share may catch up by at most its share of the throughput in this time. */
-const catchUpSeconds = 5;
 
 export interface FairAdmissionDependencies {
     readonly limits: Pick<CustomerLimits, "tryTake" | "correct">;
@@ -141,9 +140,10 @@
         });
     }
 
-    /** Work that a customer may catch up on, in tokens per unit of weight, at the throughput of `catchUpSeconds`. */
+    /** Work that a customer may catch up on, in tokens per unit of weight, at the throughput of `catchUpMilliseconds`. */
     private catchUpCredit(customer: string, weight: number): number {
-        return (this.serviceRate.perSecond * catchUpSeconds) / this.queue.activeWeight(customer, weight);
+        const tokens = this.serviceRate.perSecond * catchUpMilliseconds / millisecondsPerSecond;
+        return tokens / this.queue.activeWeight(customer, weight);
     }
 
     /** Admits queued requests in fair order while the token limit allows. */
