--- a/src/connection/gateway/peer-notices.ts
+++ b/src/connection/gateway/peer-notices.ts
@@ -9,6 +9,8 @@
     ReportListener,
     RouterReport,
     ServerLoads,
+    SlowdownReadings,
+    WorkLeft,
 } from "../../domain/gateway/placement-notice.js";
 import { formatSocketAddress, type SocketAddress } from "../../domain/gateway/server-entry.js";
 import { maximumLayerCount } from "../../domain/layers.js";
@@ -30,6 +32,9 @@
 /** Request count and token count, keyed by the ID of the backend server. */
 const loadsSchema = z.record(z.string(), z.tuple([wholeNumber(), quantity(-maximumResidue)]));
 
+/** Milliseconds, keyed by the ID of the backend server; missing in messages of routers that report only counts. */
+const workSchema = z.optional(z.record(z.string(), quantity(-maximumResidue)));
+
 const layerIndex = () => wholeNumber(maximumLayerCount - 1);
 const layersSchema = z.object({ first: layerIndex(), last: layerIndex() })
     .check(z.refine(({ first, last }) => first <= last));
@@ -51,14 +56,22 @@
         lost: z.boolean(),
     })),
     otherLoads: loadsSchema,
+    otherWork: workSchema,
     /** Missing in notices of routers before the shared retry budget. */
     retryGrants: z.optional(z.record(z.string(), quantity())),
+    /** Missing in notices of earlier routers; an odd entry is left out, since the rest does not depend on it. */
+    slowdowns: z.optional(z.unknown()),
     /** Missing in notices without new limits, as in those of earlier routers. */
     customerLimits: z.optional(byCustomer(z.number().check(z.minimum(0), z.maximum(1)))),
 });
 
+const slowdownsSchema = z.record(z.string(), z.unknown());
+/** Factor and age in milliseconds, keyed by the ID of the backend server. */
+const slowdownSchema = z.tuple([quantity(1), quantity()]);
+
 const reportSchema = z.object({
     loads: loadsSchema,
+    work: workSchema,
     retryUsages: z.record(
         z.string(),
         z.object({
@@ -74,12 +87,14 @@
 });
 
 export function encodeNotice(notice: PlacementNotice): Buffer {
-    const { sender, servers, otherLoads, retryGrants, customerLimits } = notice;
+    const { sender, servers, otherLoads, otherWork, retryGrants, slowdowns, customerLimits } = notice;
     return Buffer.from(JSON.stringify({
         sender,
         servers,
         otherLoads: formatLoads(otherLoads),
+        otherWork: formatWork(otherWork),
         retryGrants: Object.fromEntries(retryGrants),
+        slowdowns: formatSlowdowns(slowdowns),
         customerLimits: customerLimits && formatByCustomer(customerLimits, limit => limit),
     }));
 }
@@ -87,19 +102,22 @@
 /** Throws InvalidPeerMessageError if the text is not a valid placement notice. */
 export function decodeNotice(text: string): PlacementNotice {
     const notice = parsePeerMessage("placement notice", noticeSchema, text);
-    const { sender, servers, otherLoads, retryGrants, customerLimits } = notice;
+    const { sender, servers, otherLoads, otherWork, retryGrants, slowdowns, customerLimits } = notice;
     return {
         sender,
         servers: servers.map(({ id, bornAt, layers, lost }) => ({ id, bornAt, layers, lost })),
         otherLoads: parseLoads(otherLoads),
+        otherWork: parseWork(otherWork),
         retryGrants: new Map(Object.entries(retryGrants ?? {})),
+        slowdowns: parseSlowdowns(slowdowns),
         customerLimits: customerLimits && parseByCustomer(customerLimits, limit => limit),
     };
 }
 
-export function encodeReport({ loads, retryUsage, customerDemands }: RouterReport): Buffer {
+export function encodeReport({ loads, work, retryUsage, customerDemands }: RouterReport): Buffer {
     return Buffer.from(JSON.stringify({
         loads: formatLoads(loads),
+        work: formatWork(work),
         retryUsages: Object.fromEntries(retryUsage.usages),
         recordedMilliseconds: retryUsage.recordedMilliseconds,
         customerDemands: customerDemands && formatByCustomer(customerDemands, ({ asked, taken }) => [asked, taken]),
@@ -109,12 +127,13 @@
 /** Throws InvalidPeerMessageError if the text is not a valid report. */
 export function decodeReport(text: string): RouterReport {
     const report = parsePeerMessage("report of a router", reportSchema, text);
-    const { loads, retryUsages, recordedMilliseconds, customerDemands } = report;
+    const { loads, work, retryUsages, recordedMilliseconds, customerDemands } = report;
     const usages = Object.entries(retryUsages).map(([service, { requests, retries, granted }]) =>
         [service, { requests, retries, granted: granted ?? retries }] as const
     );
     return {
         loads: parseLoads(loads),
+        work: parseWork(work),
         retryUsage: { usages: new Map(usages), recordedMilliseconds: recordedMilliseconds ?? 0 },
         customerDemands: customerDemands
             && parseByCustomer(customerDemands, ([asked, taken]) => ({ asked, taken })),
@@ -204,6 +223,32 @@
     );
 }
 
+/** Undefined, which JSON leaves out, if there are none. */
+function formatSlowdowns(slowdowns: SlowdownReadings): Record<string, [number, number]> | undefined {
+    return slowdowns.size === 0
+        ? undefined
+        : Object.fromEntries(
+            [...slowdowns].map(([id, { factor, ageMilliseconds }]) => [
+                id,
+                [roundToTenths(factor), Math.round(ageMilliseconds)],
+            ]),
+        );
+}
+
+function roundToTenths(value: number): number {
+    return Math.round(value * 10) / 10;
+}
+
+function parseSlowdowns(value: unknown): SlowdownReadings {
+    const { data: entries } = slowdownsSchema.safeParse(value);
+    return new Map(
+        Object.entries(entries ?? {}).flatMap(([id, entry]) => {
+            const { data } = slowdownSchema.safeParse(entry);
+            return data === undefined ? [] : [[id, { factor: data[0], ageMilliseconds: data[1] }] as const];
+        }),
+    );
+}
+
 function sizeOf(services: Readonly<Record<string, object>>): number {
     return Object.values(services).reduce((sum, customers) => sum + Object.keys(customers).length, 0);
 }
@@ -229,3 +274,13 @@
         ]),
     );
 }
+
+function formatWork(work: WorkLeft | undefined): Record<string, number> | undefined {
+    return work === undefined || work.size === 0
+        ? undefined
+        : Object.fromEntries([...work].map(([id, milliseconds]) => [id, Math.round(milliseconds)]));
+}
+
+function parseWork(work: z.infer<typeof workSchema>): WorkLeft | undefined {
+    return work && new Map(Object.entries(work).map(([id, milliseconds]) => [id, Math.max(0, milliseconds)]));
+}
--- a/src/daemon/gateway/gateway.ts
+++ b/src/daemon/gateway/gateway.ts
@@ -130,7 +130,7 @@
     private addComponents(metrics: PrometheusMetrics): void {
         const { listen } = this.settings;
         const { failures } = this;
-        const { fleetLoad, retries, shares } = this.requestPath;
+        const { fleetLoad, retries, shares, slowdownSurvey } = this.requestPath;
         const { registry, storeWatcher, storeCache, snapshotFallback, routers, leadership, recordWriters } = this.state;
         const readiness = createContainedServer("readiness request", this.failures, (_request, response) => {
             response.writeHead(this.isReady() ? 200 : 503, { "Content-Length": "0" });
@@ -139,11 +139,13 @@
         const peers = createPeerServer({
             receiveNotice: notice => {
                 registry.applyNotice(notice.servers);
-                fleetLoad.applyOtherLoads(notice.otherLoads);
+                fleetLoad.applyOtherLoads(notice.otherLoads, notice.otherWork);
                 retries.applyGrants(notice.retryGrants);
                 shares.applyLimits(notice.customerLimits);
+                slowdownSurvey.applyNotice(notice.slowdowns);
                 return {
                     loads: fleetLoad.localLoads,
+                    work: fleetLoad.localWork,
                     retryUsage: retries.report,
                     customerDemands: shares.takeDemands(),
                 };
@@ -165,6 +167,7 @@
         this.lifeCycle.add(snapshotFallback);
         this.lifeCycle.add(routers);
         this.lifeCycle.add(leadership);
+        this.lifeCycle.add(slowdownSurvey);
         this.lifeCycle.add(this.requestPath.placement);
     }
 
--- a/src/daemon/gateway/request-path.ts
+++ b/src/daemon/gateway/request-path.ts
@@ -19,16 +19,19 @@
 import { LocalServerLoad } from "../../process/gateway/local-server-load.js";
 import { ServerAnnouncements } from "../../process/gateway/server-announcements.js";
 import { ServerExclusions } from "../../process/gateway/server-exclusions.js";
+import { ServerSlowdowns } from "../../process/gateway/server-slowdowns.js";
 import type { GatewaySettings } from "../../process/gateway/settings.js";
 import type { ShutdownGrace } from "../../process/gateway/shutdown-grace.js";
+import { SlowdownSurvey } from "../../process/gateway/slowdown-survey.js";
 import { WindowedRetryBudget } from "../../process/gateway/windowed-retry-budget.js";
+import { LearnedRequestCosts } from "../../process/request-costs/learned-request-costs.js";
 import { GatewayHandler } from "../../request/gateway/gateway-handler.js";
 import { GatewayHeaders } from "../../request/gateway/headers.js";
 import { LayerPathChooser } from "../../request/gateway/layer-path-chooser.js";
 import { CheapestLayerPathFinder } from "../../request/gateway/layer-path-finder.js";
 import { FewestZoneCrossingsPolicy } from "../../request/gateway/path-recovery-policy.js";
 import { PlainForwarder } from "../../request/gateway/plain-forwarder.js";
-import { PreferredServerChooser, TwoChoicesPolicy } from "../../request/gateway/plain-server-chooser.js";
+import { LeastWorkPolicy, PreferredServerChooser } from "../../request/gateway/plain-server-chooser.js";
 import { SpreadRetryAdvice } from "../../request/gateway/retry-advice.js";
 import { StreamForwarder } from "../../request/gateway/stream-forwarder.js";
 import type { GatewayConfigurationIndex } from "../../version/gateway/gateway-configuration-index.js";
@@ -57,6 +60,7 @@
     readonly fleetLoad: FleetLoad;
     readonly retries: WindowedRetryBudget;
     readonly shares: RouterShares;
+    readonly slowdownSurvey: SlowdownSurvey;
 }
 
 export function createRequestPath(options: RequestPathOptions): RequestPath {
@@ -64,6 +68,7 @@
     const { dialect } = options.platform;
     const { registry, routers, leavingUseMilliseconds } = state;
     const load = new LocalServerLoad();
+    const costs = new LearnedRequestCosts();
     const exclusions = new ServerExclusions(logger.withLabel("suspicions"));
     const responseObserver = new ServerAnnouncements(
         dialect.headers,
@@ -73,11 +78,22 @@
     );
     const control = new HttpServerControl(dialect, responseObserver, failures);
     const fleetLoad = new FleetLoad(load, () => routers.count);
+    const slowdowns = new ServerSlowdowns(metrics, logger.withLabel("slowdowns"));
+    const slowdownSurvey = new SlowdownSurvey({
+        registry,
+        configuration: state.configuration,
+        leadership: state.leadership,
+        control,
+        slowdowns,
+        failures,
+        logger: logger.withLabel("slowdowns"),
+    });
     const standbyPolicy = new HalfCopyStandby();
     const finder = new CheapestLayerPathFinder(random);
     const paths = new LayerPathChooser(registry, fleetLoad, exclusions, finder, standbyPolicy, {
         homeZone: settings.router.availabilityZone,
         leavingUseMilliseconds,
+        slowdowns,
     });
     const retries = createRetryBudget(settings, state, random);
     const shares = new RouterShares(settings.router.name, metrics);
@@ -91,6 +107,8 @@
         dialect,
         headers: new GatewayHeaders(dialect),
         load,
+        costs,
+        shares,
         exclusions,
         quarantine: state.quarantine,
         reachability,
@@ -102,7 +120,7 @@
         metrics,
         logger: logger.withLabel("request"),
     };
-    const plainPolicy = new TwoChoicesPolicy(fleetLoad, random);
+    const plainPolicy = new LeastWorkPolicy(fleetLoad, costs, random);
     const servers = new PreferredServerChooser(registry, exclusions, plainPolicy, leavingUseMilliseconds);
     const handler = new GatewayHandler({
         dialect,
@@ -114,8 +132,8 @@
             paths,
             registry,
             control,
+            slowdownSurvey,
             recoveryPolicy: new FewestZoneCrossingsPolicy(),
-            shares,
             firstEvents: new FirstEventLatency(),
         }),
         random,
@@ -132,6 +150,7 @@
         standbyPolicy,
         control,
         fleetLoad,
+        slowdowns,
         retries: createFleetRetryBudget(settings, state, retries),
         applyGrants: grants => retries.applyGrants(grants),
         shares: createFleetShares(options, shares, fleetLoad),
@@ -141,7 +160,7 @@
         failures,
         logger: logger.withLabel("placement"),
     });
-    return { handler, paths, placement, fleetLoad, retries, shares };
+    return { handler, paths, placement, fleetLoad, retries, shares, slowdownSurvey };
 }
 
 function createFleetShares(
--- a/src/domain/gateway/placement-notice.ts
+++ b/src/domain/gateway/placement-notice.ts
@@ -25,6 +25,9 @@
 /** Keyed by backend server ID. */
 export type ServerLoads = ReadonlyMap<string, RunningLoad>;
 
+/** Run time in milliseconds that the running plain requests on each server are expected to need yet, by its ID. */
+export type WorkLeft = ReadonlyMap<string, number>;
+
 /** What one router has sent to one service in the current window of the retry budget. */
 export interface RetryUsage {
     readonly requests: number;
@@ -44,6 +47,17 @@
 /** Retries that a router may make until the next notice, keyed by service; fractions are chances of one more. */
 export type RetryGrants = ReadonlyMap<string, number>;
 
+/** What an engine stated about its own speed. */
+export interface ServerSlowdown {
+    /** Factor on the duration of its work; 1 is nominal. */
+    readonly factor: number;
+    /** Time since the engine was asked. It grows with each message, so that passing it on does not keep it alive. */
+    readonly ageMilliseconds: number;
+}
+
+/** Keyed by backend server ID. */
+export type SlowdownReadings = ReadonlyMap<string, ServerSlowdown>;
+
 /** Prompt tokens and expected output tokens of a customer's requests. */
 export interface CustomerDemand {
     /** Of all requests, repeated tries of the customer's clients included. */
@@ -58,6 +72,8 @@
 /** What a router reports in response to a notice. */
 export interface RouterReport {
     readonly loads: ServerLoads;
+    /** Missing in reports of routers that report only counts. */
+    readonly work?: WorkLeft;
     readonly retryUsage: RetryUsageReport;
     /** What was added since the router's last report; undefined if nothing is to be reported. */
     readonly customerDemands?: ByCustomer<CustomerDemand> | undefined;
@@ -68,7 +84,11 @@
     readonly servers: readonly ServerNotice[];
     /** Total load of all routers except the receiver. */
     readonly otherLoads: ServerLoads;
+    /** Work left of all routers except the receiver. */
+    readonly otherWork?: WorkLeft;
     readonly retryGrants: RetryGrants;
+    /** Engines that have stated that they are slow. */
+    readonly slowdowns: SlowdownReadings;
     /**
      * Customers that ask for more than their share of short room, with the part of their demand that may take room, 0 to 1.
      * Undefined leaves the last limits in force.
--- a/src/process/gateway/layer-placement/placement-loop.ts
+++ b/src/process/gateway/layer-placement/placement-loop.ts
@@ -19,6 +19,7 @@
 import type { FleetRetryBudget } from "../fleet-retry-budget.js";
 import type { ServerExclusions } from "../server-exclusions.js";
 import type { ServerRegistry } from "../server-registry.js";
+import type { ServerSlowdowns } from "../server-slowdowns.js";
 import { EngineState } from "./engine-state.js";
 import { layersThatFit, minimumMemoryReserve, preferredMemoryReserve } from "./layer-capacity.js";
 import type { StandbyPolicy } from "./standby-servers.js";
@@ -46,6 +47,7 @@
     readonly control: ServerControl;
     readonly notices: NoticeSender;
     readonly fleetLoad: FleetLoad;
+    readonly slowdowns: ServerSlowdowns;
     readonly retries: FleetRetryBudget;
     /** Applies this router's own part of the retry budget. */
     applyGrants(grants: RetryGrants): void;
@@ -256,6 +258,7 @@
         const { registry, fleetLoad, retries, shares, notices, routerName: sender } = this.dependencies;
         const servers = this.listCorrections();
         registry.applyNotice(servers);
+        const slowdowns = this.dependencies.slowdowns.published;
         const retryGrants = retries.computeGrants();
         this.dependencies.applyGrants(retryGrants);
         const customerLimits = shares.computeLimits();
@@ -265,11 +268,13 @@
                 sender,
                 servers,
                 otherLoads: fleetLoad.totalExcluding(formatSocketAddress(router)),
+                otherWork: fleetLoad.workExcluding(formatSocketAddress(router)),
                 retryGrants: retries.grantsFor(formatSocketAddress(router), retryGrants),
                 customerLimits,
+                slowdowns,
             }),
-            (router, { loads, retryUsage, customerDemands }) => {
-                fleetLoad.recordRouterLoads(formatSocketAddress(router), loads);
+            (router, { loads, work, retryUsage, customerDemands }) => {
+                fleetLoad.recordRouterLoads(formatSocketAddress(router), loads, work);
                 retries.recordReport(formatSocketAddress(router), retryUsage);
                 shares.recordReport(customerDemands);
             },
