--- a/src/daemon/gateway/gateway.ts
+++ b/src/daemon/gateway/gateway.ts
@@ -130,7 +130,7 @@
     private addComponents(metrics: PrometheusMetrics): void {
         const { listen } = this.settings;
         const { failures } = this;
-        const { fleetLoad, retries, shares, slowdownSurvey } = this.requestPath;
+        const { fleetLoad, retries, slowdownSurvey, shares } = this.requestPath;
         const { registry, storeWatcher, storeCache, snapshotFallback, routers, leadership, recordWriters } = this.state;
         const readiness = createContainedServer("readiness request", this.failures, (_request, response) => {
             response.writeHead(this.isReady() ? 200 : 503, { "Content-Length": "0" });
@@ -141,8 +141,8 @@
                 registry.applyNotice(notice.servers);
                 fleetLoad.applyOtherLoads(notice.otherLoads, notice.otherWork);
                 retries.applyGrants(notice.retryGrants);
-                shares.applyLimits(notice.customerLimits);
                 slowdownSurvey.applyNotice(notice.slowdowns);
+                shares.applyLimits(notice.customerLimits);
                 return {
                     loads: fleetLoad.localLoads,
                     work: fleetLoad.localWork,
--- a/src/daemon/gateway/request-path.ts
+++ b/src/daemon/gateway/request-path.ts
@@ -59,8 +59,8 @@
     readonly placement: PlacementLoop;
     readonly fleetLoad: FleetLoad;
     readonly retries: WindowedRetryBudget;
-    readonly shares: RouterShares;
     readonly slowdownSurvey: SlowdownSurvey;
+    readonly shares: RouterShares;
 }
 
 export function createRequestPath(options: RequestPathOptions): RequestPath {
@@ -85,6 +85,7 @@
         leadership: state.leadership,
         control,
         slowdowns,
+        exclusions,
         failures,
         logger: logger.withLabel("slowdowns"),
     });
@@ -108,7 +109,6 @@
         headers: new GatewayHeaders(dialect),
         load,
         costs,
-        shares,
         exclusions,
         quarantine: state.quarantine,
         reachability,
@@ -134,6 +134,7 @@
             control,
             slowdownSurvey,
             recoveryPolicy: new FewestZoneCrossingsPolicy(),
+            shares,
             firstEvents: new FirstEventLatency(),
         }),
         random,
@@ -160,7 +161,7 @@
         failures,
         logger: logger.withLabel("placement"),
     });
-    return { handler, paths, placement, fleetLoad, retries, shares, slowdownSurvey };
+    return { handler, paths, placement, fleetLoad, retries, slowdownSurvey, shares };
 }
 
 function createFleetShares(
--- a/src/process/gateway/layer-placement/placement-loop.ts
+++ b/src/process/gateway/layer-placement/placement-loop.ts
@@ -270,8 +270,8 @@
                 otherLoads: fleetLoad.totalExcluding(formatSocketAddress(router)),
                 otherWork: fleetLoad.workExcluding(formatSocketAddress(router)),
                 retryGrants: retries.grantsFor(formatSocketAddress(router), retryGrants),
-                customerLimits,
                 slowdowns,
+                customerLimits,
             }),
             (router, { loads, work, retryUsage, customerDemands }) => {
                 fleetLoad.recordRouterLoads(formatSocketAddress(router), loads, work);
--- a/src/request/gateway/attempt-supervisor.ts
+++ b/src/request/gateway/attempt-supervisor.ts
@@ -98,6 +98,8 @@
     /** Reported servers that the attempt could not be moved off, in which case it is not ordered again with each notice. */
     private immovable: readonly ServerEntry[] = [];
     private retryTimer: ReturnType<typeof setTimeout> | undefined;
+    /** Runs from a quiet pause on until it ends. */
+    private lateTimer: ReturnType<typeof setTimeout> | undefined;
     private recovering = false;
     private stopped = false;
 
@@ -180,12 +182,22 @@
         this.quiet = true;
         this.boundary.run(() => this.recoverFromReported());
         this.boundary.run(() => this.checkServers());
+        this.lateTimer = setTimeout(
+            this.boundary.wrap(() => this.askForSpeed()),
+            this.supervised.limits.lateAfterQuietMilliseconds,
+        );
+    }
+
+    /** Only for a stream that is late: most quiet pauses end in time, and each question costs the engine a connection. */
+    private askForSpeed(): void {
+        if (!this.isLost) {
+            this.dependencies.slowdownSurvey.askFor(this.currentPath.parts.map(({ server }) => server));
+        }
     }
 
     private async checkServers(): Promise<void> {
         const checkStartedAt = monotonicNow();
         const servers = this.currentPath.parts.map(({ server }) => server);
-        this.dependencies.slowdownSurvey.askFor(servers);
         const unreachable = await this.dependencies.reachability.findUnreachable(servers);
         if (unreachable.length === 0 || this.hasProgressedSince(checkStartedAt)) {
             return;
@@ -225,6 +237,7 @@
         const replacement = supervised.progress.lastEventId === undefined
             ? undefined
             : supervised.chooseReplacement(path, lostIds);
+        const rivalAllowed = supervised.mayStartRival();
         const newPath = this.chooseRivalPath(lostIds);
         const action = dependencies.recoveryPolicy.choose({ path, replacement, newPath });
         // Starts in the same turn in which the budget allows it, before other attempts look at the budget.
@@ -246,6 +259,7 @@
             `${[...lostIds].join(",")} ${reason}`,
             action,
             outcome,
+            rivalAllowed,
         );
     }
 
@@ -311,9 +325,16 @@
         this.stalled = false;
         this.lost = [];
         clearTimeout(this.retryTimer);
+        clearTimeout(this.lateTimer);
     }
 
-    private log(chosen: LayerPath | undefined, reason: string, action: RecoveryAction, outcome: string): void {
+    private log(
+        chosen: LayerPath | undefined,
+        reason: string,
+        action: RecoveryAction,
+        outcome: string,
+        rivalAllowed: boolean,
+    ): void {
         const { request, progress } = this.supervised;
         this.dependencies.logger.decision({
             kind: "replace-lost-part",
@@ -322,7 +343,15 @@
             reason,
             configurationVersion: request.configurationVersion,
             requestId: request.id,
-            fields: { repair: action, outcome, lastEventId: progress.lastEventId },
+            fields: {
+                repair: action,
+                outcome,
+                rivalAllowed,
+                lastEventId: progress.lastEventId,
+                pauseMilliseconds: progress.lastEventAt === undefined
+                    ? undefined
+                    : Math.round(monotonicNow() - progress.lastEventAt),
+            },
         });
     }
 }
--- a/src/request/gateway/stream-cost.ts
+++ b/src/request/gateway/stream-cost.ts
@@ -1,6 +1,6 @@
 /**
- * The expected and the actual cost of one stream: its size before it runs, its part of the servers' load while it runs, its
- * customer's demand, and what its end teaches.
+ * The expected and the actual cost of one stream: its size before it runs, its part of its customer's demand and of the
+ * servers' load, and what its end teaches.
  */
 import type { Metrics } from "../../common/metrics.js";
 import type { EngineProfile } from "../../domain/gateway/configuration.js";
@@ -22,7 +22,7 @@
 export class StreamCost {
     readonly size: RequestSize;
     private readonly output: OutputEstimate;
-    private hasBegun = false;
+    private hasBegunRun = false;
 
     constructor(
         private readonly dependencies: StreamCostDependencies,
@@ -32,13 +32,17 @@
     ) {
         this.output = dependencies.costs.estimateOutput(streamCostQuery(request, engine));
         this.size = requestSize(request, engine, { estimateOutput: () => this.output });
-        dependencies.shares.recordAsked(request.service, request.customer, this.tokens);
+    }
+
+    /** Counts the request as asked for by its customer, whatever becomes of it. */
+    recordArrival(): void {
+        this.dependencies.shares.recordAsked(this.request.service, this.request.customer, this.tokens);
     }
 
     /** Counts a run on the servers of its path, in view of what earlier runs have generated. */
     beginRun(path: LayerPath): RunningStream {
-        if (!this.hasBegun) {
-            this.hasBegun = true;
+        if (!this.hasBegunRun) {
+            this.hasBegunRun = true;
             this.dependencies.shares.recordTaken(this.request.service, this.request.customer, this.tokens);
         }
         const serverIds = path.parts.map(({ server }) => server.id);
--- a/src/request/gateway/stream-request-handler.ts
+++ b/src/request/gateway/stream-request-handler.ts
@@ -87,6 +87,7 @@
     /** Throws a PomelostallError if the stream could not be completed. */
     async run(): Promise<void> {
         this.dependencies.retries.recordRequest(this.request.service);
+        this.cost.recordArrival();
         try {
             await this.startNextRun();
             let finished: boolean;
@@ -218,7 +219,7 @@
             },
             headerNames: dependencies.dialect.headers,
             responseObserver: dependencies.responseObserver,
-            limits: computeStallLimits(request.route, dependencies.firstEvents.upperBound(service)),
+            limits: computeStallLimits(request.route, service, dependencies),
             progress,
             runs,
             crashGuard: this.crashGuard,
