--- a/src/request/gateway/layer-path-costs.ts
+++ b/src/request/gateway/layer-path-costs.ts
@@ -123,7 +123,8 @@
     const arriving = estimateArrivingTokens(servers, engine, size);
     const requestTokens = size.promptTokens + size.outputTokens;
     for (const server of servers) {
-        const { tokens, tokenCapacity, entry: { availabilityZone } } = server;
+        const { tokens, entry: { availabilityZone } } = server;
+        const tokenCapacity = finiteTokenCapacity(server);
         const drawnTokens = tokens + random.next() * arriving;
         // Of the requests that arrive before the next notice, the server is used by no more than it has room for.
         const spared = server.standby || drawnTokens > Math.max(tokens, memoryWatermark * tokenCapacity);
@@ -167,7 +168,7 @@
         const layers = layerCount(server.layers);
         const weight = server.tokens * layers;
         layerTokens += weight;
-        layerCapacity += server.tokenCapacity * layers;
+        layerCapacity += finiteTokenCapacity(server) * layers;
         stepMilliseconds += weight * computeStepMilliseconds(server, engine);
     }
     const minimum = minimumArrivingShare * layerCapacity / engine.layerCount;
@@ -179,6 +180,13 @@
     return Math.max(minimum, share * layerTokens / engine.layerCount);
 }
 
+/** More tokens than any accelerator holds; stands for a capacity without limit, of a profile whose tokens take no memory. */
+const unlimitedTokenCapacity = 1e9;
+
+export function finiteTokenCapacity({ tokenCapacity }: PathServer): number {
+    return Math.min(unlimitedTokenCapacity, tokenCapacity);
+}
+
 /** Duration of a decoding step through all layers of the model, if all of them were on the server. */
 function computeStepMilliseconds({ requests, tokens, stepFactor }: PathServer, engine: EngineProfile): number {
     return stepFactor * (engine.stepMilliseconds
--- a/src/request/gateway/path-zone-ranking.ts
+++ b/src/request/gateway/path-zone-ranking.ts
@@ -6,7 +6,7 @@
  */
 import type { RandomSource } from "../../common/random.js";
 import type { EngineProfile } from "../../domain/gateway/configuration.js";
-import { estimateArrivingTokens } from "./layer-path-costs.js";
+import { estimateArrivingTokens, finiteTokenCapacity } from "./layer-path-costs.js";
 import type { PathServer, PathSpan, RequestSize } from "./layer-path-finder.js";
 
 /**
@@ -53,7 +53,9 @@
     const { first, last } = span.layers;
     const tokenChanges = new Float64Array(last - first + 2);
     const capacityChanges = new Float64Array(last - first + 2);
-    for (const { layers, tokens, tokenCapacity } of members) {
+    for (const member of members) {
+        const { layers, tokens } = member;
+        const tokenCapacity = finiteTokenCapacity(member);
         if (layers.first > last || layers.last < first) {
             continue;
         }
--- a/test/request/gateway/layer-path-finder.test.ts
+++ b/test/request/gateway/layer-path-finder.test.ts
@@ -96,6 +96,15 @@
         ]);
     });
 
+    test("finds a path over servers whose memory has no limit, or that have begun to run requests beyond it", () => {
+        const tokenCapacity = Infinity;
+        expect(findServerIds([pathServer("all", { first: 0, last: 19 }, { tokenCapacity })])).toEqual(["all"]);
+        expect(findServerIds([
+            pathServer("first", { first: 0, last: 9 }, { tokenCapacity, tokens: 10_000 }),
+            pathServer("last", { first: 10, last: 19 }, { tokens: 100_000 }),
+        ])).toEqual(["first", "last"]);
+    });
+
     test("finds a path for some of the layers that stays in the zone of the preceding part", () => {
         const servers = [
             pathServer("north", { first: 4, last: 12 }),
