Slow engines take only what others have no room for; count connections for reports apart in a test

A path is now first sought among the others. The test of callers that have left counted all connections to engines; the placement leader's questions now open some, so the stand-in counts those apart and the check holds for all others.

--- a/src/request/gateway/gateway-handler.ts
+++ b/src/request/gateway/gateway-handler.ts
@@ -384,9 +384,8 @@
     }
 }
 
-function headerText(message: IncomingMessage, name: string): string | undefined {
-    const value = message.headers[name];
-    return typeof value === "string" ? value : undefined;
+function headerText({ headers }: IncomingMessage, name: string): string | undefined {
+    return typeof headers[name] === "string" ? headers[name] : undefined;
 }
 
 /** Bytes of the separators in a header line: a colon, a space and the line break (2 bytes). */
--- a/src/request/gateway/layer-path-chooser.ts
+++ b/src/request/gateway/layer-path-chooser.ts
@@ -12,7 +12,7 @@
 import type { LayerHolder, StandbyPolicy } from "../../process/gateway/layer-placement/standby-servers.js";
 import type { ServerExclusions } from "../../process/gateway/server-exclusions.js";
 import type { ServerRegistry } from "../../process/gateway/server-registry.js";
-import type { SlowdownEstimate } from "../../process/gateway/server-slowdowns.js";
+import { slowFactor, type SlowdownEstimate } from "../../process/gateway/server-slowdowns.js";
 import type {
     LayerPath,
     LayerPathFinder,
@@ -190,6 +190,7 @@
             standby,
             stepFactor: kind.stepFactor * slowdown,
             prefillFactor: kind.prefillFactor * slowdown,
+            isSlow: slowdown >= slowFactor,
             requests: this.load.requests(entry.id),
             tokens: this.load.tokens(entry.id),
             tokenCapacity: tokensThatFit(engine, kind, layerCount(entry.layers)),
--- a/src/request/gateway/layer-path-finder.ts
+++ b/src/request/gateway/layer-path-finder.ts
@@ -23,6 +23,8 @@
     readonly stepFactor: number;
     /** Prefill time relative to the engine profile. */
     readonly prefillFactor: number;
+    /** Whether it has stated that it works more slowly than its kind usually does. */
+    readonly isSlow?: boolean;
     /** Running requests whose paths include the server. */
     readonly requests: number;
     /** Tokens of these requests, prompt and expected output. */
@@ -116,7 +118,10 @@
     }
 }
 
-/** Chooses the zone by how full it is, and the cheapest path within it. */
+/**
+ * Chooses the zone by how full it is, and the cheapest path within it. Slow servers, whose streams are all late, take what the
+ * others have no room for.
+ */
 export class CheapestLayerPathFinder implements LayerPathFinder {
     private readonly memoryCosts = new DrawnUseMemoryCosts();
 
@@ -127,6 +132,22 @@
         engine: EngineProfile,
         size: RequestSize,
         span: PathSpan,
+    ): LayerPath | undefined {
+        const nominal = servers.filter(({ isSlow }) => isSlow !== true);
+        if (nominal.length < servers.length) {
+            const path = this.findAmong(nominal, engine, size, span);
+            if (path !== undefined && hasRoomFor(path, nominal, size)) {
+                return path;
+            }
+        }
+        return this.findAmong(servers, engine, size, span);
+    }
+
+    private findAmong(
+        servers: readonly PathServer[],
+        engine: EngineProfile,
+        size: RequestSize,
+        span: PathSpan,
     ): LayerPath | undefined {
         const zones = drawServerCosts(servers, engine, size, this.memoryCosts, this.random);
         const hops = hopCosts(engine, size, span);
@@ -139,3 +160,15 @@
         return searchCheapestPath([...zones.values()].flat(), span, hops);
     }
 }
+
+/** Whether the request fits into the memory of each server of the path, by the known loads. */
+function hasRoomFor(
+    { parts }: LayerPath,
+    servers: readonly PathServer[],
+    { promptTokens, outputTokens }: RequestSize,
+): boolean {
+    const used = new Set(parts.map(({ server }) => server.id));
+    return servers.every(({ entry, tokens, tokenCapacity }) =>
+        !used.has(entry.id) || tokens + promptTokens + outputTokens <= tokenCapacity
+    );
+}
--- a/test/platform/stand-ins/backend-server.ts
+++ b/test/platform/stand-ins/backend-server.ts
@@ -81,6 +81,8 @@
     behavior: Behavior = "answer";
     readonly received: ReceivedRequest[] = [];
     connections = 0;
+    /** Those of the connections that asked for a report, each on a connection of its own. */
+    reportConnections = 0;
     readonly orders: Record<string, unknown>[] = [];
     layers: { from: number; target: number; } | undefined;
     /** Number of requests whose connection closed before the response was complete. */
@@ -177,6 +179,7 @@
     }
 
     private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        this.reportConnections += Number(request.url === "/report");
         const chunks: Buffer[] = [];
         for await (const chunk of request) {
             chunks.push(chunk as Buffer);
