--- a/src/request/gateway/layer-path-chooser.ts
+++ b/src/request/gateway/layer-path-chooser.ts
@@ -12,7 +12,7 @@
 import type { LayerHolder, StandbyPolicy } from "../../process/gateway/layer-placement/standby-servers.js";
 import type { ServerExclusions } from "../../process/gateway/server-exclusions.js";
 import type { ServerRegistry } from "../../process/gateway/server-registry.js";
-import { slowFactor, type SlowdownEstimate } from "../../process/gateway/server-slowdowns.js";
+import { type SlowdownEstimate, slowFactor } from "../../process/gateway/server-slowdowns.js";
 import type {
     LayerPath,
     LayerPathFinder,
