Wait for the engine's own statement in a test of slow engines

Seen once in the whole suite: "last-a that states that it is slow" was used after the wait. The wait ended as soon as six streams happened to avoid the engine, which can be before the leader has asked it. It now ends once the engine has been asked since it turned slow; the check is unchanged.

--- a/test/platform/slow-engines.test.ts
+++ b/test/platform/slow-engines.test.ts
@@ -40,8 +40,12 @@
 
 describe("new streams avoid an engine", () => {
     test.each(["first-a", "first-b", "last-a", "last-b"])("%s that states that it is slow", async id => {
-        fixture.servers.find(server => server.id === id)!.pace = 12;
-        await fixture.waitUntil(async () => !(await usedEngines()).has(id));
+        const server = fixture.servers.find(candidate => candidate.id === id)!;
+        server.pace = 12;
+        const askedBefore = server.reportConnections;
+        await fixture.waitUntil(() => server.reportConnections > askedBefore);
+        // The statement takes effect once its response has arrived.
+        await new Promise(resolve => setTimeout(resolve, 200));
         expect((await usedEngines()).has(id)).toBe(false);
     });
 
