--- a/review/support-2/case.mjs
+++ b/review/support-2/case.mjs
@@ -22,6 +22,9 @@
         write("not run: the time limit has passed");
         void deployment.stop().finally(() => process.exit(2));
     }, maximumMilliseconds);
+    for (const signal of ["SIGINT", "SIGTERM"]) {
+        process.once(signal, () => void deployment.stop().finally(() => process.exit(2)));
+    }
     let code = 2;
     try {
         await deployment.start();
