Wait for callers' connections, not for requests, when a router stops

Cause: Gateway.stop looked once for requests in flight and then stopped the components one after the other, with the callers' connections last. A request whose head was on its way then began, was passed on and cut.

Change: the drain waits until the connections have ended, for as long as a head may take and within the grace period. Then no request may start, the rest is cancelled, and all connections are closed before the first component stops. Gateway.stop returns one promise.

Why it works: without a connection and a listener nothing can begin; what the router cannot wait for is refused or closed unread.

--- a/src/daemon/gateway/gateway.ts
+++ b/src/daemon/gateway/gateway.ts
@@ -1,6 +1,6 @@
 /** Composes a gateway, one router on the target platform, and controls its start, readiness and graceful stop. */
 import type { Server } from "node:http";
-import { delay, monotonicNow } from "../../common/clock.js";
+import { monotonicNow } from "../../common/clock.js";
 import { createContainedServer } from "../../common/contained-server.js";
 import { FailureReporter } from "../../common/failure-boundary.js";
 import { LifeCycle } from "../../common/life-cycle.js";
@@ -15,6 +15,7 @@
 import { ShutdownGrace } from "../../process/gateway/shutdown-grace.js";
 import { createMetricsServer, PrometheusMetrics } from "../../process/metrics/prometheus-metrics.js";
 import { GatewayConfigurationIndex } from "../../version/gateway/gateway-configuration-index.js";
+import { CallerDrain } from "./caller-drain.js";
 import { createGatewayState, type GatewayState } from "./gateway-state.js";
 import { createManagedListener } from "./managed-listener.js";
 import { createMemoryLedger } from "./memory-ledger.js";
@@ -24,9 +25,6 @@
 const millisecondsPerSecond = 1_000;
 /** Part of the shutdown grace period that is reserved for stopping components and exiting the process. */
 const exitReserveMilliseconds = 400;
-const drainPollMilliseconds = 50;
-/** Last part of the time for serving, in which requests that are not complete get an error response. */
-const errorResponseMilliseconds = 100;
 const componentStopTimeoutMilliseconds = 500;
 /** Limits the header bytes that the HTTP parser buffers; four times the limit that operators configure today. */
 const maximumHeaderBytes = 65_536;
@@ -42,6 +40,7 @@
     private readonly shutdown = new ShutdownGrace();
     /** Whether every model has had a complete layer path at least once; from then on, readiness ignores paths. */
     private hasBeenRoutable = false;
+    private stopping: Promise<void> | undefined;
 
     constructor(
         private readonly settings: GatewaySettings,
@@ -87,31 +86,24 @@
     }
 
     /**
-     * Reports not ready, keeps accepting connections until the platform has noticed, and stops once every request is
-     * answered or the grace period ends; requests that have no response by then get an error response.
+     * Reports not ready, keeps accepting connections until the platform has noticed, and stops once every connection has
+     * ended or the grace period is over; requests that have no response by then get an error response. Later calls return the
+     * promise of the first.
      */
-    async stop(): Promise<void> {
-        if (this.shutdown.begun) {
-            return;
-        }
+    stop(): Promise<void> {
+        this.stopping ??= this.drainAndStop();
+        return this.stopping;
+    }
+
+    private async drainAndStop(): Promise<void> {
         const { handler } = this.requestPath;
         const startedAt = monotonicNow();
         const graceMilliseconds = this.settings.bounds.shutdownGraceSeconds * millisecondsPerSecond
             - exitReserveMilliseconds;
-        this.shutdown.begin(graceMilliseconds - errorResponseMilliseconds);
         this.logger.info("gateway stopping; waiting for requests in flight", {
             requestsInFlight: handler.requestsInFlight,
         });
-        await delay(this.shutdown.noticeMilliseconds);
-        this.callers.close();
-        while (handler.requestsInFlight > 0 && this.shutdown.remainingMilliseconds > 0) {
-            this.callers.closeIdleConnections();
-            await delay(Math.min(drainPollMilliseconds, Math.max(0, this.shutdown.remainingMilliseconds)));
-        }
-        if (handler.requestsInFlight > 0) {
-            handler.cancelAll();
-            await delay(errorResponseMilliseconds);
-        }
+        await new CallerDrain(this.callers, handler, this.shutdown).run(graceMilliseconds);
         this.logger.info("gateway stopped serving", {
             requestsInFlight: handler.requestsInFlight,
             milliseconds: Math.round(monotonicNow() - startedAt),
--- a/src/process/gateway/shutdown-grace.ts
+++ b/src/process/gateway/shutdown-grace.ts
@@ -13,6 +13,7 @@
 export class ShutdownGrace {
     private startedAt = -Infinity;
     private milliseconds = Infinity;
+    private ended = false;
 
     /** Starts the grace period, which lasts for the given time. */
     begin(milliseconds: number): void {
@@ -20,6 +21,11 @@
         this.milliseconds = milliseconds;
     }
 
+    /** From now on, no request may be sent to a backend server. */
+    end(): void {
+        this.ended = true;
+    }
+
     get begun(): boolean {
         return this.milliseconds !== Infinity;
     }
@@ -39,7 +45,8 @@
      */
     allowsStart(deadline: number): boolean {
         return !this.begun
-            || monotonicNow() - this.startedAt <= this.noticeMilliseconds
-            || deadline <= this.startedAt + this.milliseconds;
+            || (!this.ended
+                && (monotonicNow() - this.startedAt <= this.noticeMilliseconds
+                    || deadline <= this.startedAt + this.milliseconds));
     }
 }
--- a/test/platform/shutdown.test.ts
+++ b/test/platform/shutdown.test.ts
@@ -9,9 +9,9 @@
 const pause = (milliseconds: number) => new Promise(resolve => setTimeout(resolve, milliseconds));
 const receivedTotal = () => fixture.servers.reduce((sum, { received }) => sum + received.length, 0);
 
-async function startWithApps(count: number): Promise<StandInBackendServer[]> {
+async function startWithApps(count: number, shutdownGraceSeconds = 2): Promise<StandInBackendServer[]> {
     const apps = Array.from({ length: count }, (_value, index) => new StandInBackendServer(`app-${index}`, "app"));
-    fixture = await GatewayFixture.start(apps, 1);
+    fixture = await GatewayFixture.start(apps, 1, { shutdownGraceSeconds });
     await fixture.waitUntil(async () => (await fixture.send("GET", "/nowhere/")).status === 404);
     return apps;
 }
@@ -188,6 +188,74 @@
     await stopped;
 });
 
+/** Sends the first part of a head, and the rest of the request after the given time. */
+async function sendSlowly(id: string, milliseconds: number): Promise<{ id: string; text: string; }> {
+    const { socket, text } = await open();
+    socket.write("POST ");
+    await pause(milliseconds);
+    if (socket.writable) {
+        socket.write(requestText("POST", "/book/1", id, "body").slice("POST ".length).replace("Ms: 5000", "Ms: 200"));
+    }
+    return { id, text: await text };
+}
+
+/** Sends bookings whose heads are complete one after the other, from the first time to the last. */
+function sendSlowlyBetween(from: number, to: number, step: number): Promise<{ id: string; text: string; }[]> {
+    const times = Array.from({ length: (to - from) / step }, (_value, index) => from + step * index);
+    return Promise.all(times.map(time => sendSlowly(`slow-${time}`, time)));
+}
+
+function passedOnWithoutAnswer(results: readonly { id: string; text: string; }[]): string[] {
+    const passedOn = new Set(
+        fixture.servers.flatMap(({ received }) => received.map(({ headers }) => headers["x-attempt-id"])),
+    );
+    return results.filter(({ id, text }) => passedOn.has(id) && !/\r\n\r\n./.test(text)).map(({ id }) => id);
+}
+
+// A stop that looked once for requests in flight passed on those that came later, and cut them as the process ended.
+test("a booking whose head is complete only after all others are answered is answered too", async () => {
+    const [app] = await startWithApps(1, 4);
+    app!.answerMilliseconds = 60;
+    fixture.store.answerMilliseconds = 250;
+    const stopped = fixture.stopGateway();
+    const results = await sendSlowlyBetween(2_000, 3_000, 20);
+    expect(passedOnWithoutAnswer(results)).toEqual([]);
+    expect(results.filter(({ text }) => !text.startsWith("HTTP/1.1 200 "))).toEqual([]);
+    await stopped;
+});
+
+// The runtime ends no connection without a complete head once its server has been closed.
+test("a connection whose head never ends holds up the stop for the time that a head may take", async () => {
+    await startWithApps(1, 6);
+    fixture.publish(2, {
+        limits: { max_header_bytes: 16_384, max_body_bytes: 2_000, header_timeout_ms: 400, idle_timeout_ms: 15_000 },
+    });
+    await pause(300);
+    const startedAt = performance.now();
+    const stopped = fixture.stopGateway();
+    await pause(2_400);
+    const { socket } = await open();
+    socket.write("POST ");
+    await stopped;
+    expect(performance.now() - startedAt).toBeLessThan(4_500);
+});
+
+// Requests that came between the last cancellation and the end of the process were passed on and cut.
+test("no booking that reaches a server at the end of the grace period stays without an answer", async () => {
+    const [app] = await startWithApps(1);
+    app!.answerMilliseconds = 60;
+    fixture.store.answerMilliseconds = 250;
+    const stopped = fixture.stopGateway();
+    const bookings = sendSlowlyBetween(1_100, 2_000, 20);
+    // An upload that never ends keeps the gateway serving until the grace period ends.
+    const upload = await open();
+    upload.socket.write(requestText("POST", "/book/1", "upload", "bo", 4));
+    const results = await bookings;
+    expect(passedOnWithoutAnswer(results)).toEqual([]);
+    expect(results.filter(({ text }) => text !== "" && !/^HTTP\/1\.1 (200|503) /.test(text))).toEqual([]);
+    await stopped;
+});
+
 test("a request that waits for the configuration is refused at once", async () => {
     fixture = await GatewayFixture.start([new StandInBackendServer("app", "app")]);
     const waiting = fixture.send("POST", "/book/1", { "X-Deadline-Ms": "10000" }, "body");
