Answer uploads that a stopping router does not wait for

Callers saw: an upload that was still arriving when the grace period ended got no answer, and a refusal during the shutdown could be lost with its connection, which was closed while the caller still sent its body.

Change: a cancelled request stops reading its body, and one that has not run is refused with 503. Every error response that closes its connection waits for the rest of the body, as those for oversized bodies did. The functions that read headers have a file of their own.

Evidence: "an upload that is still arriving at the end of the grace period ..." got no byte before, "a refusal during the shutdown ..." ended with EPIPE at the caller.

--- a/src/request/gateway/caller-body.ts
+++ b/src/request/gateway/caller-body.ts
@@ -19,6 +19,8 @@
     readonly memory: MemoryLedger;
     /** The caller, for the log. */
     readonly owner: string;
+    /** Aborted when the request is cancelled; its body is then not read any further. */
+    readonly cancelled: AbortSignal;
     readonly boundary: FailureBoundary;
 }
 
@@ -77,6 +79,7 @@
             message.on("end", boundary.wrap(complete));
             message.on("error", boundary.wrap(lose));
             message.on("close", boundary.wrap(lose));
+            options.cancelled.addEventListener("abort", boundary.wrap(lose));
         });
         this.awaitPart();
     }
--- a/src/request/gateway/gateway-handler.ts
+++ b/src/request/gateway/gateway-handler.ts
@@ -14,11 +14,11 @@
     BadRequestError,
     BodyTooLargeError,
     ConfigurationMissingError,
-    HeadersTooLargeError,
     InternalError,
     MemoryShortageError,
     NoServerAvailableError,
     NotFoundError,
+    Outcome,
     PomelostallError,
     RequestTimeoutError,
     RouterDrainingError,
@@ -31,6 +31,7 @@
 import { watchDisconnection } from "../http/caller-disconnection.js";
 import { readCallerBody } from "./caller-body.js";
 import { addressOf, CallerConnections } from "./caller-connections.js";
+import { checkHeaderBytes, headerText } from "./caller-headers.js";
 import { CallerResponse } from "./caller-response.js";
 import type { PlainForwarder } from "./plain-forwarder.js";
 import { pollUntilDefined, shortWaitEnd } from "./poll-until-defined.js";
@@ -167,7 +168,7 @@
             await this.forwardRequest(message, response, receivedAt, cancelled.signal, { boundary, memory });
         }
         catch (error) {
-            const cause = cancelled.signal.aborted && !disconnected.aborted ? new RouterStoppedError() : error;
+            const cause = cancelled.signal.aborted && !disconnected.aborted ? stopError(error) : error;
             this.respondWithError(message, response, receivedAt, cause, disconnected);
         }
     }
@@ -304,6 +305,7 @@
                 deadline,
                 memory,
                 owner: `${customer?.name ?? "no customer"} at ${addressOf(message.socket)}`,
+                cancelled: callerGone,
                 boundary,
             }),
             memory,
@@ -375,7 +377,9 @@
             response.abortConnection();
             return;
         }
-        if (unreadBodyErrors.some(type => error instanceof type) && !message.complete) {
+        const leavesBodyUnread = unreadBodyErrors.some(type => error instanceof type)
+            || this.shouldClose(message.socket);
+        if (leavesBodyUnread && !message.complete) {
             this.connections.markUnreadable(message.socket);
             response.writeGatewayError(error, message);
             return;
@@ -384,17 +388,9 @@
     }
 }
 
-function headerText({ headers }: IncomingMessage, name: string): string | undefined {
-    return typeof headers[name] === "string" ? headers[name] : undefined;
-}
-
-/** Bytes of the separators in a header line: a colon, a space and the line break (2 bytes). */
-const headerLineOverheadBytes = 4;
-
-function checkHeaderBytes({ rawHeaders }: IncomingMessage, maximumBytes: number): void {
-    const bytes = rawHeaders.reduce((sum, text) => sum + text.length, 0)
-        + headerLineOverheadBytes * rawHeaders.length / 2;
-    if (bytes > maximumBytes) {
-        throw new HeadersTooLargeError(maximumBytes);
-    }
+/** The error of a request that the router cancelled at the end of its grace period. */
+function stopError(error: unknown): PomelostallError {
+    return error instanceof PomelostallError && error.outcome === Outcome.notRun
+        ? new RouterDrainingError(0)
+        : new RouterStoppedError();
 }
--- a/test/platform/shutdown.test.ts
+++ b/test/platform/shutdown.test.ts
@@ -256,6 +256,34 @@
     await stopped;
 });
 
+// Uploads were cut without an answer, since reading a body did not notice that the request was cancelled.
+test("an upload that is still arriving at the end of the grace period is refused as not run", async () => {
+    await startWithApps(1);
+    const stopped = fixture.stopGateway();
+    await pause(700);
+    const { socket, text } = await open();
+    socket.write(requestText("POST", "/book/1", "upload", "bo", 4));
+    await stopped;
+    expect(await text).toMatch(/^HTTP\/1\.1 503 [^]*not-run/);
+    expect(receivedTotal()).toBe(0);
+});
+
+// Closing a connection with unread input resets it, and the caller may then never read the response.
+test("a refusal during the shutdown reaches a caller that sends its whole body first", async () => {
+    await startWithApps(1);
+    const stopped = fixture.stopGateway();
+    await pause(600);
+    const { socket, text } = await open();
+    socket.write(requestText("POST", "/nowhere/", "refused", "bo", 2_000));
+    for (let part = 0; part < 10; part++) {
+        await pause(20);
+        socket.write("x".repeat(199));
+    }
+    expect(await text).toMatch(/^HTTP\/1\.1 404 [^]*not-found/);
+    expect(socket.errored).toBeNull();
+    await stopped;
+});
+
 test("a request that waits for the configuration is refused at once", async () => {
     fixture = await GatewayFixture.start([new StandInBackendServer("app", "app")]);
     const waiting = fixture.send("POST", "/book/1", { "X-Deadline-Ms": "10000" }, "body");
