Give up a claim of the placement lease that is under way as the router stops

Seen by reading, on the path of the bookings that were cut in a stop: a claim whose lease was granted after the stop had looked for one wrote the leader's key under a lease that nobody renews or revokes. No router led until it had expired, 3 s.

Change: the stop waits for the claim, which writes no key any more, and revokes its lease.

Evidence: "leaves no key behind if it is stopped while a claim is under way" failed before: the key was in the store after the stop.

--- a/src/process/gateway/layer-placement/placement-leadership.ts
+++ b/src/process/gateway/layer-placement/placement-leadership.ts
@@ -46,7 +46,7 @@
     private readonly stopping = new AbortController();
     private readonly leaseDurationMilliseconds: number;
     private lease: HeldLease | undefined;
-    private campaigning = false;
+    private campaign: Promise<void> | undefined;
     private readonly boundary: FailureBoundary;
     private keyAbsent = false;
     /** Values of the key under which this router leads: its own holder name and those of adopted leases. */
@@ -78,6 +78,7 @@
     /** Revokes the lease, or hands it over while the store is unavailable, so that another router can lead at once. */
     async stop(): Promise<void> {
         this.stopping.abort();
+        await this.campaign;
         const held = this.lease;
         const wasLeader = this.isLeader;
         this.lease = undefined;
@@ -125,18 +126,13 @@
         else if (!isOwnKey && this.lease?.confirmed === true) {
             this.stepDown("the key was removed or is held by another router");
         }
-        if (this.keyAbsent && !this.campaigning) {
-            this.boundary.run(() => this.campaign());
-        }
-    }
-
-    private async campaign(): Promise<void> {
-        this.campaigning = true;
-        try {
-            await this.claimWhileAbsent();
-        }
-        finally {
-            this.campaigning = false;
+        if (this.keyAbsent && this.campaign === undefined) {
+            this.boundary.run(() => {
+                this.campaign = this.claimWhileAbsent().finally(() => {
+                    this.campaign = undefined;
+                });
+                return this.campaign;
+            });
         }
     }
 
@@ -178,6 +174,9 @@
             confirmed: false,
         };
         this.lease = lease;
+        if (this.stopping.signal.aborted) {
+            return;
+        }
         const committed = await this.store.commit({
             conditions: [{ key: this.key, revision: 0 }],
             writes: [{ key: this.key, value: Buffer.from(this.holder), leaseId: id }],
--- a/src/request/gateway/caller-headers.ts
+++ b/src/request/gateway/caller-headers.ts
@@ -5,7 +5,7 @@
 /** Bytes of the separators in a header line: a colon, a space and the line break (2 bytes). */
 const headerLineOverheadBytes = 4;
 
-/** Returns undefined for a header that is missing or repeated. */
+/** Returns undefined if the header is missing. */
 export function headerText({ headers }: IncomingMessage, name: string): string | undefined {
     return typeof headers[name] === "string" ? headers[name] : undefined;
 }
--- a/test/process/gateway/placement-leadership.test.ts
+++ b/test/process/gateway/placement-leadership.test.ts
@@ -1,4 +1,5 @@
 import { beforeEach, describe, expect, jest, test } from "@jest/globals";
+import { delay } from "../../../src/common/clock.js";
 import { SilentLogger } from "../../../src/common/logger.js";
 import { SeededRandom } from "../../../src/common/random.js";
 import type { LeadershipOffer } from "../../../src/domain/gateway/leadership-offer.js";
@@ -13,10 +14,15 @@
     down = false;
     loseCommitResponse = false;
     lostLeases = new Set<number>();
+    readonly revokedLeases: number[] = [];
+    grantMilliseconds = 0;
+    grantCalls = 0;
     private nextLease = 1;
 
     async grantLease(): Promise<number> {
         this.check();
+        this.grantCalls++;
+        await delay(this.grantMilliseconds);
         return this.nextLease++;
     }
 
@@ -39,7 +45,8 @@
         }
     }
 
-    async revokeLease(): Promise<void> {
+    async revokeLease(lease: number): Promise<void> {
+        this.revokedLeases.push(lease);
         this.holder = undefined;
     }
 
@@ -165,4 +172,19 @@
         await leadership.stop();
         expect(leadership.adopt({ leaseId: 7, holder: "old", renewedMillisecondsAgo: 0 })).toBe(false);
     });
+
+    // A claim that was under way as the router stopped left its key behind, and nobody led until its lease had expired.
+    test("leaves no key behind if it is stopped while a claim is under way", async () => {
+        store.grantMilliseconds = 200;
+        leadership.leaderKeyChanged(undefined);
+        while (store.grantCalls === 0) {
+            await jest.advanceTimersByTimeAsync(10);
+        }
+        const stopped = leadership.stop();
+        await jest.advanceTimersByTimeAsync(1_000);
+        await stopped;
+        expect(store.holder).toBeUndefined();
+        expect(store.revokedLeases).toEqual([1]);
+        expect(leadership.isLeader).toBe(false);
+    });
 });
