Count every run of a stream that was not refused

Cause: a run that another one overtook before its head arrived was taken for one that had not been executed. The engine may have made tokens by then, which the router cannot see.

Change: only a refusal with proof and a request that was never sent give an attempt back.

Why it works: the count of runs is then never below the number of engines that may have run the stream.

Test: "is run on no more servers than the route allows if its first run is overtaken before its head" had three runs before, two now.

--- a/src/request/gateway/stream-request-handler.ts
+++ b/src/request/gateway/stream-request-handler.ts
@@ -68,7 +68,6 @@
     private readonly runs: CompetingRuns<StreamRun>;
     private readonly cost: StreamCost;
     private startedRuns = 0;
-    private unexecutedRuns = 0;
     private refusals = 0;
 
     constructor(
@@ -117,7 +116,7 @@
             this.cost.recordComplete();
             return true;
         }
-        this.countRefusal(run, result);
+        this.countRefusal(result);
         this.avoidFaultyServers(run.path, result);
         return this.runs.allEnded && await this.finishOrRetry(result);
     }
@@ -270,18 +269,18 @@
         }
     }
 
-    private countRefusal(run: StreamRun, { end }: AttemptResult): void {
+    private countRefusal({ end }: AttemptResult): void {
         if (end === AttemptEnd.notRun) {
             this.refusals++;
         }
-        if (end === AttemptEnd.notRun || (end === AttemptEnd.superseded && !run.hasStarted)) {
-            this.unexecutedRuns++;
-        }
     }
 
-    /** Runs that a backend server may have executed, including those that go on. */
+    /**
+     * Runs that a backend server may have executed, including those that go on. Only a refusal and a request that was not
+     * sent show that it has not: a server may run a request for some time before its head arrives.
+     */
     private get executions(): number {
-        return this.startedRuns - this.unexecutedRuns;
+        return this.startedRuns - this.refusals;
     }
 
     /** Excludes the servers at fault from the paths of later runs. */
--- a/src/request/gateway/stream-run.ts
+++ b/src/request/gateway/stream-run.ts
@@ -94,11 +94,6 @@
         return this.supervisor.isLost;
     }
 
-    /** Whether a valid response head of a stream has arrived. */
-    get hasStarted(): boolean {
-        return this.head !== undefined;
-    }
-
     end(end: AttemptEnd, reason: string): void {
         this.attempt.end(end, reason);
     }
