--- a/src/request/gateway/event-splitter.ts
+++ b/src/request/gateway/event-splitter.ts
@@ -4,6 +4,8 @@
  * bytes without events do not count as progress, and their size is limited like that of an event.
  */
 
+import { PendingBytes } from "../../common/pending-bytes.js";
+
 const lineFeed = 0x0a;
 const carriageReturn = 0x0d;
 /** Thousands of tokens; the events of the users' engines hold a few each. */
@@ -21,28 +23,28 @@
 }
 
 export class EventSplitter {
-    private incompleteEvent: Buffer = Buffer.alloc(0);
-    /** Offset of the unterminated block in `incompleteEvent`, after blocks that are no events. */
+    private readonly pending = new PendingBytes();
+    /** Offset of the unterminated block in the pending bytes, after blocks that are no events. */
     private blockStart = 0;
 
     /** Whether an event or another block has begun and has not been terminated. */
     get hasIncompleteEvent(): boolean {
-        return blockContentPattern.test(this.incompleteEvent.toString("latin1", this.blockStart));
+        return blockContentPattern.test(this.pending.bytes.toString("latin1", this.blockStart));
     }
 
     /** Whether the unterminated event, with the blocks before it, exceeds the maximum event size. */
     get exceedsMaximumSize(): boolean {
-        return this.incompleteEvent.length > maximumEventBytes;
+        return this.pending.length > maximumEventBytes;
     }
 
     /** Adds a chunk and returns the events that are now complete, in order. */
     push(chunk: Buffer): CompleteEvent[] {
-        const bytes = this.incompleteEvent.length === 0 ? chunk : Buffer.concat([this.incompleteEvent, chunk]);
+        // The bytes that earlier calls have searched may end with the first part of a terminator.
+        let searchFrom = Math.max(this.blockStart, this.pending.length - maximumTerminatorBytes + 1);
+        const bytes = this.pending.append(chunk);
         const events: CompleteEvent[] = [];
         let start = 0;
         let { blockStart } = this;
-        // The bytes that earlier calls have searched may end with the first part of a terminator.
-        let searchFrom = Math.max(blockStart, this.incompleteEvent.length - maximumTerminatorBytes + 1);
         for (let end = findBlockEnd(bytes, searchFrom); end !== -1; end = findBlockEnd(bytes, searchFrom)) {
             const block = bytes.toString("latin1", blockStart, end);
             if (eventFieldPattern.test(block)) {
@@ -52,15 +54,15 @@
             blockStart = end;
             searchFrom = end;
         }
-        this.incompleteEvent = bytes.subarray(start);
+        this.pending.removeFirst(start);
         this.blockStart = blockStart - start;
         return events;
     }
 
     /** Returns and removes the bytes after the last event. */
     takeRest(): Buffer {
-        const rest = this.incompleteEvent;
-        this.incompleteEvent = Buffer.alloc(0);
+        const rest = this.pending.bytes;
+        this.pending.removeFirst(rest.length);
         this.blockStart = 0;
         return rest;
     }
