Tell all parts of a prompt apart, however many there are

Cause: the parser kept 32 parts, evidence with more was refused, and a router remembered the last 1,000 parts that it had seen at crashes; nothing said so. One part of another form hid all parts of its prompt.

Change: all parts count. A part of another form is named by a digest.

Why it works: no bound is left that a single prompt can reach, so that the part at fault is in all evidence of its crashes.

--- a/src/domain/gateway/dialect.ts
+++ b/src/domain/gateway/dialect.ts
@@ -52,8 +52,8 @@
     /** Returns undefined unless the value is a positive number of tokens. */
     parseLengthHint(value: string | undefined): number | undefined;
     /**
-     * IDs of the prompt's parts that other requests may share, in the prompt's order and in lower case; none if the value
-     * is malformed.
+     * IDs of the prompt's parts that other requests may share, in the prompt's order and as 1 to 64 lower-case hexadecimal
+     * digits. Every part has one, however many there are and whatever its form.
      */
     parseSharedPromptParts(value: string | undefined): readonly string[];
     /** Returns undefined unless the value has the form `IP:PORT`. */
--- a/src/process/gateway/prompt-quarantine/blocked-parts.ts
+++ b/src/process/gateway/prompt-quarantine/blocked-parts.ts
@@ -24,15 +24,18 @@
         this.blocks.set(part, { endsAt: monotonicNow() + blockMilliseconds, stored: false });
     }
 
-    /** Applies a key of the store. A known block keeps its end. */
-    confirm(part: string): void {
+    /** Applies a key of the store, and returns whether there is room for it. A known block keeps its end. */
+    confirm(part: string): boolean {
         const block = this.blocks.get(part);
         if (block !== undefined) {
             block.stored = true;
+            return true;
         }
-        else if (this.blocks.size < maximumParts) {
-            this.blocks.set(part, { endsAt: monotonicNow() + blockMilliseconds, stored: true });
+        if (this.blocks.size >= maximumParts) {
+            return false;
         }
+        this.blocks.set(part, { endsAt: monotonicNow() + blockMilliseconds, stored: true });
+        return true;
     }
 
     remove(part: string): void {
--- a/src/process/gateway/prompt-quarantine/prompt-quarantine.ts
+++ b/src/process/gateway/prompt-quarantine/prompt-quarantine.ts
@@ -3,7 +3,6 @@
  * store, which every router watches anyway, and which outlives a restart of all of them. A router that has itself seen an
  * attempt with the part break off decides, applies the block at once and stores it.
  */
-import { LRUCache } from "lru-cache";
 import { monotonicNow } from "../../../common/clock.js";
 import type { FailureBoundary, FailureReporter } from "../../../common/failure-boundary.js";
 import type { Logger } from "../../../common/logger.js";
@@ -15,15 +14,16 @@
 import { EvidenceLog } from "./evidence-log.js";
 import type { LeasedRecord } from "./leased-record-writer.js";
 import { RecentCounts } from "./recent-counts.js";
+import { RecentNames } from "./recent-names.js";
 import { createEvidenceKey, decodeBlockedPart, decodeEvidence, encodeBlock, encodeEvidence } from "./store-records.js";
 import type { CrashAttribution, CrashCause, CrashEvidence } from "./types.js";
 
-const maximumWitnessedParts = 1_000;
 /**
  * Requests that ran beside the one at fault may be seen first, by another router. The evidence of a crash counts once that of
  * all routers has had time to arrive through the store.
  */
 const settlingMilliseconds = 800;
+const maximumLoggedParts = 32;
 const survivedAttempts = "survived";
 const brokenAttempts = "broken";
 
@@ -53,9 +53,9 @@
     private readonly evidence = new EvidenceLog();
     private readonly blocked = new BlockedParts();
     /** Parts of attempts that broke off at a crash here; a part is removed when its block ends. */
-    private readonly witnessedParts = new LRUCache<string, true>({ max: maximumWitnessedParts });
+    private readonly witnessedParts = new RecentNames<true>();
     /** Parts of evidence that this router has written to the store. */
-    private readonly sharedParts = new LRUCache<string, true>({ max: maximumWitnessedParts });
+    private readonly sharedParts = new RecentNames<true>();
 
     private readonly boundary: FailureBoundary;
 
@@ -76,11 +76,10 @@
      * been there by chance.
      */
     isSuspected(parts: readonly string[]): boolean {
-        const { witness } = this.dependencies;
-        return parts.some(part => {
-            const crashes = this.evidence.countCrashes(witness, part);
-            return crashes > 0 && standsOut(crashes, this.successes.count(part), this.crashShare);
-        });
+        const { crashShare } = this;
+        return this.evidence.countCrashes(this.dependencies.witness, parts).some((crashes, index) =>
+            crashes > 0 && standsOut(crashes, this.successes.count(parts[index]!), crashShare)
+        );
     }
 
     /** Records an attempt whose server survived it. */
@@ -199,10 +198,13 @@
             logger.warn("key of a blocked prompt part cannot be decoded; ignored", { key });
             return undefined;
         }
-        if (this.blocked.remainingMilliseconds(part) === 0) {
+        const isKnown = this.blocked.remainingMilliseconds(part) > 0;
+        if (!this.blocked.confirm(part)) {
+            logger.warn("key of a blocked prompt part ignored, since there are too many", { key });
+        }
+        else if (!isKnown) {
             logger.info("prompt part blocked by the store", { part });
         }
-        this.blocked.confirm(part);
         return part;
     }
 
@@ -236,7 +238,8 @@
             kind: "block-prompt-part",
             chosen: part,
             over: [...new Set(this.evidence.all.flatMap(({ parts }) => parts.map(({ id }) => id)))]
-                .filter(id => id !== part),
+                .filter(id => id !== part)
+                .slice(0, maximumLoggedParts),
             reason: "backend servers crashed under requests with this part",
             configurationVersion: dependencies.configurationVersion(),
             fields: { crashes, successes, evidence: this.evidence.all.length },
--- a/src/process/gateway/prompt-quarantine/recent-counts.ts
+++ b/src/process/gateway/prompt-quarantine/recent-counts.ts
@@ -1,14 +1,13 @@
 /** Counts events by name over the last minutes, in bounded memory: the least used names are dropped. */
-import { LRUCache } from "lru-cache";
 import { monotonicNow } from "../../../common/clock.js";
+import { RecentNames } from "./recent-names.js";
 
 /** A count covers one to two periods. */
 const periodMilliseconds = 300_000;
-const maximumNames = 10_000;
 
 export class RecentCounts {
-    private current = createCounts();
-    private previous = createCounts();
+    private current = new RecentNames<number>();
+    private previous = new RecentNames<number>();
     private periodStartedAt = monotonicNow();
 
     record(name: string): void {
@@ -26,12 +25,8 @@
         if (elapsed < periodMilliseconds) {
             return;
         }
-        this.previous = elapsed < 2 * periodMilliseconds ? this.current : createCounts();
-        this.current = createCounts();
+        this.previous = elapsed < 2 * periodMilliseconds ? this.current : new RecentNames<number>();
+        this.current = new RecentNames<number>();
         this.periodStartedAt = monotonicNow();
     }
 }
-
-function createCounts(): LRUCache<string, number> {
-    return new LRUCache({ max: maximumNames });
-}
--- a/src/process/gateway/prompt-quarantine/store-records.ts
+++ b/src/process/gateway/prompt-quarantine/store-records.ts
@@ -1,10 +1,9 @@
 /** Keys and values of crash evidence and blocks in the platform's store. */
 import { randomUUID } from "node:crypto";
 import * as z from "zod/mini";
-import type { CrashCause, CrashEvidence } from "./types.js";
+import { type CrashCause, type CrashEvidence, maximumPromptParts } from "./types.js";
 
 const maximumPartLength = 64;
-const maximumParts = 32;
 const maximumNameLength = 200;
 const partPattern = new RegExp(`^[0-9a-f]{1,${maximumPartLength}}$`);
 
@@ -12,7 +11,7 @@
     serverStart: z.string().check(z.maxLength(maximumNameLength)),
     witness: z.string().check(z.maxLength(maximumNameLength)),
     parts: z.array(z.object({ id: z.string().check(z.regex(partPattern)), successes: z.int().check(z.nonnegative()) }))
-        .check(z.maxLength(maximumParts)),
+        .check(z.maxLength(maximumPromptParts)),
 });
 
 /** A key that no other evidence has; it stays the same when the write is repeated. */
--- a/src/process/gateway/prompt-quarantine/types.ts
+++ b/src/process/gateway/prompt-quarantine/types.ts
@@ -1,5 +1,8 @@
 /** Evidence of crashes of backend servers and the decision about their cause. */
 
+/** More than the headers of a request can name, so that no part of a prompt is left out. */
+export const maximumPromptParts = 20_000;
+
 /** A shared part of a prompt, with the successes that the witness had seen of it when the server crashed. */
 export interface WitnessedPart {
     readonly id: string;
--- a/src/request/gateway/stream-run-log.ts
+++ b/src/request/gateway/stream-run-log.ts
@@ -7,6 +7,9 @@
 import type { StreamProgress } from "./stream-progress.js";
 import type { GatewayRequest } from "./types.js";
 
+/** The count of all is logged beside them. */
+const maximumLoggedParts = 32;
+
 export interface EndedRunRecord {
     readonly request: GatewayRequest;
     /** Size that was expected when the request arrived. */
@@ -39,7 +42,8 @@
             registryGeneration: record.registryGeneration,
             streamStarted: result.streamStarted,
             deliveredEvents: result.deliveredEvents,
-            sharedPromptParts: request.sharedPromptParts.join(","),
+            sharedPromptParts: request.sharedPromptParts.slice(0, maximumLoggedParts).join(","),
+            sharedPromptPartCount: request.sharedPromptParts.length,
             lastEventId: progress.lastEventId,
             route: request.route.name,
             customer: request.customer,
--- a/test/platform/crashing-prompt-parts.test.ts
+++ b/test/platform/crashing-prompt-parts.test.ts
@@ -27,9 +27,12 @@
 let crashes: number[];
 let soundRequests: Promise<SoundRequest>[];
 let timers: NodeJS.Timeout[];
+/** Parts with which all prompts begin. */
+let precedingParts: string[];
 
 beforeEach(() => {
     jest.useRealTimers();
+    precedingParts = [];
     crashes = [];
     soundRequests = [];
     timers = [];
@@ -89,7 +92,7 @@
 }
 
 function send(number: number, id: string, parts: readonly string[]): Promise<GatewayResponse> {
-    const prompt = [...parts, `${number + 4096}`].map(part => `${part}:10`).join(",");
+    const prompt = [...precedingParts, ...parts, `${number + 4096}`].map(part => `${part}:10`).join(",");
     return fixture.sendTo(number % gatewayCount, "POST", "/report-text/1", {
         "X-Attempt-Id": id,
         "X-Prompt-Prefix": prompt,
@@ -173,6 +176,21 @@
     await expectSoundRequestsServedAtFirstAttempt(since);
 }, 60_000);
 
+// review/9: only the first 32 parts of a prompt were told apart, and one part of another form hid all of them.
+test("a part behind forty others, one of them with an odd ID, is blocked", async () => {
+    await startFleet();
+    const others = Array.from({ length: 40 }, (_value, index) => `f${index}`);
+    precedingParts = [...others, "not hexadecimal"];
+    fixture.servers.forEach(server => {
+        server.crashingPromptPart = crashingPart;
+    });
+    const responses = await sendTrafficPastBound();
+    const since = (crashes[4] ?? crashes.at(-1)!) + noticeMilliseconds;
+    expect(arrivalsOfCrashingPart(since).length).toBeLessThanOrEqual(3);
+    expect(responses.at(-1)).toMatchObject({ status: 503 });
+    await expectSoundRequestsServedAtFirstAttempt(since);
+}, 60_000);
+
 test("a part that crashes only half of the servers is blocked as well", async () => {
     await startFleet();
     fixture.servers.filter((_server, index) => index % 2 === 0).forEach(server => {
--- a/test/process/gateway/prompt-quarantine/prompt-quarantine.test.ts
+++ b/test/process/gateway/prompt-quarantine/prompt-quarantine.test.ts
@@ -140,6 +140,25 @@
     expect(isBlocked(other)).toBe(true);
 });
 
+// Evidence of more than 32 parts was refused, and only the last 1,000 parts that a router had seen could be blocked.
+test("a part is blocked wherever it stands among thousands, by each router that has seen a crash under it", () => {
+    const others = (name: string) => Array.from({ length: 5_000 }, (_value, index) => `${name}${index.toString(16)}`);
+    const parts = ["bad", ...others("a"), ...others("c")];
+    const first = createQuarantine("router-1");
+    const second = createQuarantine("router-2");
+    crash(first, 2, parts);
+    crash(second, 1, parts);
+    second.replaceAll(evidence.map(stored));
+    jest.advanceTimersByTime(1_000);
+    others("a").forEach(part => second.recordSuccess([part]));
+    others("c").forEach(part => second.recordSuccess([part]));
+    crash(second, 1, parts);
+    jest.advanceTimersByTime(1_000);
+    expect(second.findBlock(["bad"])).toBeDefined();
+    expect(second.findBlock(others("a"))).toBeUndefined();
+    expect(warnings).toEqual([]);
+});
+
 test("a block ends after ten minutes, and the part is tried again", () => {
     const quarantine = createQuarantine();
     quarantine.applyChange({ key: blockKey, revision: 1, value: Buffer.from("") });
