Take no response whose status is outside 200 to 599

Cause: the range of a status was checked at one end only, where the answer is used.

Change: the exchange, through which every answer of a server enters, fails with a protocol error for such a status; a request that may have run ends in 502. The product's own path to services uses the same check.

Evidence: the cases of 600 and 999 failed before, six in malformed-requests.test.ts and two in service-caller.test.ts.

--- a/src/connection/gateway/exchange.ts
+++ b/src/connection/gateway/exchange.ts
@@ -17,6 +17,7 @@
 import { monotonicNow } from "../../common/clock.js";
 import { afterPendingInput } from "../../common/event-loop.js";
 import type { FailureBoundary, FailureReporter } from "../../common/failure-boundary.js";
+import { isFinalStatus } from "../../common/http-status.js";
 import type { ResponseObserver } from "../../domain/gateway/response-observer.js";
 import type { ServerEntry } from "../../domain/gateway/server-entry.js";
 import { ConnectionFailedError, ConnectionFailure } from "../../errors/index.js";
@@ -210,7 +211,7 @@
         const { statusCode, headers, rawHeaders } = response;
         const status = statusCode ?? 0;
         const framing = responseFraming({ status, headers }, this.content.method);
-        if (framing === ResponseFraming.unsupported || !areHeadersValid(rawHeaders)) {
+        if (!isFinalStatus(status) || framing === ResponseFraming.unsupported || !areHeadersValid(rawHeaders)) {
             this.fail(ConnectionFailure.protocol);
             return;
         }
--- a/src/request/gateway/response-check.ts
+++ b/src/request/gateway/response-check.ts
@@ -9,8 +9,7 @@
     notRun: "not-run",
     /**
      * Must not be forwarded to the caller: it carries another request's ID, has a content encoding, or is a success
-     * without the backend server's proof header or without the request ID or that reports that the request has not run, or its status
-     * is none of a final response.
+     * without the backend server's proof header or without the request ID or that reports that the request has not run.
      */
     invalid: "invalid",
 } as const;
@@ -18,12 +17,10 @@
 
 const misdirectedRequestStatus = 421;
 const lowestErrorStatus = 400;
-/** Lower ones are no status codes or belong to interim responses. */
-const lowestFinalStatus = 200;
 
 export function checkResponse(head: ResponseHead, requestId: string, names: HeaderNames): ResponseVerdict {
     const echoedRequestId = head.headers[names.requestId];
-    if (head.status < lowestFinalStatus || (echoedRequestId !== undefined && echoedRequestId !== requestId)) {
+    if (echoedRequestId !== undefined && echoedRequestId !== requestId) {
         return ResponseVerdict.invalid;
     }
     const success = head.status < lowestErrorStatus;
--- a/src/request/service/service-dispatcher.ts
+++ b/src/request/service/service-dispatcher.ts
@@ -4,7 +4,8 @@
  */
 import { Agent, Client, type Dispatcher } from "undici";
 import { monotonicNow } from "../../common/clock.js";
-import { DeadlineExceededError, Outcome } from "../../errors/index.js";
+import { isFinalStatus } from "../../common/http-status.js";
+import { ConnectionFailedError, ConnectionFailure, DeadlineExceededError, Outcome } from "../../errors/index.js";
 import { buildRequestHeaders, endToEndHeaders } from "./headers.js";
 import { DispatchKind, type DispatchResult, type ServiceCall, type ServiceInstance } from "./types.js";
 
@@ -89,6 +90,13 @@
             bodyTimeout: 0,
         });
         response.body.once("close", cleanUp);
+        if (!isFinalStatus(response.statusCode)) {
+            response.body.on("error", () => undefined).destroy();
+            return {
+                kind: DispatchKind.unknown,
+                error: new ConnectionFailedError(instance.id, ConnectionFailure.protocol, true),
+            };
+        }
         const headers = endToEndHeaders(response.headers);
         return {
             kind: DispatchKind.responded,
--- a/test/platform/malformed-requests.test.ts
+++ b/test/platform/malformed-requests.test.ts
@@ -63,21 +63,23 @@
     expect(status).toBe("HTTP/1.1 404 Not Found");
 });
 
-test.each([
-    ["000", "/look/1"],
-    ["099", "/look/1"],
-    ["101", "/look/1"],
-    ["000", "/report-text/1"],
-    ["099", "/report-text/1"],
-    ["101", "/report-text/1"],
-])("a response of status %s to %s is not a response of the server", async (status, path) => {
+// Statuses above 599 were passed on as answers of the server.
+test.each(
+    ["000", "099", "101", "600", "999", "0200", "2000"].flatMap(status => [
+        [status, "GET", "/look/1"],
+        [status, "POST", "/book/1"],
+        [status, "POST", "/report-text/1"],
+    ]),
+)("a response of status %s to %s %s is not a response of the server", async (status, method, path) => {
     const servers = createServers();
     fixture = await GatewayFixture.start(servers, 1);
     await fixture.waitUntil(() => servesEverything());
     servers.forEach(server => {
         server.rawStatus = status;
     });
-    expect((await fixture.send("GET", path)).status).toBe(502);
+    const response = await fixture.send(method, path);
+    expect(response).toMatchObject({ status: 502, complete: true });
+    expect(response.headers["x-replica-seal"]).toBeUndefined();
 });
 
 // Requests were sent to the odd entry, which ended the process.
--- a/test/request/service/service-caller.test.ts
+++ b/test/request/service/service-caller.test.ts
@@ -1,6 +1,6 @@
 import { afterEach, beforeEach, describe, expect, jest, test } from "@jest/globals";
 import { createServer, type IncomingHttpHeaders, type Server } from "node:http";
-import type { AddressInfo } from "node:net";
+import { type AddressInfo, createServer as createTcpServer } from "node:net";
 import { text } from "node:stream/consumers";
 import { SilentLogger } from "../../../src/common/logger.js";
 import { SilentMetrics } from "../../../src/common/metrics.js";
@@ -183,4 +183,20 @@
         server.closeAllConnections();
         server.close();
     });
+
+    // Such a status was passed on to the caller, or ended its request with an unexpected failure.
+    test.each(["000", "099", "600", "999"])("status %s is no response of a service", async status => {
+        const server = createTcpServer(socket =>
+            socket.on("error", () => undefined).once(
+                "data",
+                () => socket.end(`HTTP/1.1 ${status} Odd\r\nContent-Length: 3\r\n\r\nodd`),
+            )
+        );
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        const { port } = server.address() as AddressInfo;
+        instances = [{ id: "odd", address: `http://127.0.0.1:${port}`, location: ownLocation }];
+        const outcomes = [await outcomeOf(createCall()), await outcomeOf(createStockCall())];
+        server.close();
+        expect(outcomes).toEqual(["unknown", "failed"]);
+    });
 });
