Know poured bytes as no answer early, and avoid the engines that pour

Callers saw: lookups ended in 504 at their time limit while sound servers were idle, as a server of their service sent empty lines before a head, or a body in chunks of one byte, without end. Streams took longer, as an engine that poured was asked again by each of them.

Cause: bytes before a head were not counted, chunks were counted in bytes only, and an engine's invalid answer was held against it by one request.

Evidence: nine cases of endless-responses.test.ts failed before.

--- a/src/connection/gateway/read-response.ts
+++ b/src/connection/gateway/read-response.ts
@@ -4,6 +4,7 @@
 import type { ServerEntry } from "../../domain/gateway/server-entry.js";
 import { ConnectionFailure, MemoryShortageError } from "../../errors/index.js";
 import { Exchange, type ExchangeOptions, type ExchangeRequest, type ResponseHead } from "./exchange.js";
+import { SmallChunkLimit } from "./small-chunk-limit.js";
 
 export interface BufferedResponse {
     readonly head: ResponseHead;
@@ -33,12 +34,13 @@
             end: error => exchange.fail(ConnectionFailure.memory, error),
         });
         const body = new ByteCollector(account);
+        const smallChunks = new SmallChunkLimit();
         const exchange = new Exchange(server, request, options, {
             headReceived: received => {
                 head = received;
             },
             chunkReceived: chunk => {
-                if (body.bytes + chunk.length > options.maximumBytes) {
+                if (body.bytes + chunk.length > options.maximumBytes || smallChunks.isExceededBy(chunk)) {
                     exchange.fail(ConnectionFailure.protocol);
                     return;
                 }
--- a/src/request/gateway/stream-attempt.ts
+++ b/src/request/gateway/stream-attempt.ts
@@ -12,6 +12,7 @@
     type ResponseHead,
 } from "../../connection/gateway/exchange.js";
 import { ResponseFraming } from "../../connection/gateway/response-framing.js";
+import { SmallChunkLimit } from "../../connection/gateway/small-chunk-limit.js";
 import type { HeaderNames } from "../../domain/gateway/dialect.js";
 import type { ServerEntry } from "../../domain/gateway/server-entry.js";
 import { type ConnectionFailedError, ConnectionFailure, MemoryShortageError } from "../../errors/index.js";
@@ -43,7 +44,7 @@
     readonly head?: ResponseHead;
     /** Body of an error response, if `end` is `failure`. */
     readonly body?: Buffer;
-    /** How the connection failed; undefined if it did not, or if the gateway ended it. */
+    /** How the connection failed, or `protocol` for an invalid response; undefined if neither, or if the gateway ended it. */
     readonly connectionFailure?: ConnectionFailure;
     /** Whether a valid response head of a stream has arrived. */
     readonly streamStarted: boolean;
@@ -74,6 +75,7 @@
 
 export class StreamAttempt {
     private readonly splitter = new EventSplitter();
+    private readonly smallChunks = new SmallChunkLimit();
     private readonly exchange: Exchange;
     private resolveResult!: (result: AttemptResult) => void;
     private head: ResponseHead | undefined;
@@ -132,7 +134,7 @@
             this.finish({ end: AttemptEnd.notRun, reason: `status ${head.status}`, head });
         }
         else if (verdict === ResponseVerdict.invalid) {
-            this.finish({ end: AttemptEnd.broken, reason: "response failed validation", head });
+            this.finishInvalid("response failed validation");
         }
         else if (head.status < lowestErrorStatus) {
             this.streamStarted = true;
@@ -141,28 +143,30 @@
     }
 
     private handleChunk(chunk: Buffer): void {
+        if (this.smallChunks.isExceededBy(chunk)) {
+            this.finishInvalid("too many small chunks");
+            return;
+        }
         if (this.head!.status >= lowestErrorStatus) {
             this.collectError(chunk);
             return;
         }
         for (const event of this.splitter.push(chunk)) {
             if (!this.observer.deliver(event)) {
-                this.finish({
-                    end: AttemptEnd.broken,
-                    reason: `event ${event.id} is not the successor of the last delivered event`,
-                });
+                this.finishInvalid(`event ${event.id} is not the successor of the last delivered event`);
                 return;
             }
+            this.smallChunks.reset();
             this.recordDelivery();
         }
         if (this.splitter.exceedsMaximumSize) {
-            this.finish({ end: AttemptEnd.broken, reason: "unterminated event exceeds the maximum event size" });
+            this.finishInvalid("unterminated event exceeds the maximum event size");
         }
     }
 
     private collectError(chunk: Buffer): void {
         if (this.errorBody.bytes + chunk.length > maximumErrorBodyBytes) {
-            this.finish({ end: AttemptEnd.broken, reason: "error response exceeds the maximum size" });
+            this.finishInvalid("error response exceeds the maximum size");
             return;
         }
         try {
@@ -223,6 +227,11 @@
         });
     }
 
+    /** Ends an attempt because of what its server has sent. */
+    private finishInvalid(reason: string): void {
+        this.finish({ end: AttemptEnd.broken, reason, connectionFailure: ConnectionFailure.protocol });
+    }
+
     /** Ends an attempt whose connection the server has closed in order, but too early. */
     private finishBrokenOff(reason: string): void {
         this.finish({ end: AttemptEnd.broken, reason, connectionFailure: ConnectionFailure.broken });
--- a/src/request/gateway/stream-request-handler.ts
+++ b/src/request/gateway/stream-request-handler.ts
@@ -8,7 +8,6 @@
 import type { EngineProfile } from "../../domain/gateway/configuration.js";
 import type { Dialect } from "../../domain/gateway/dialect.js";
 import type { ResponseObserver } from "../../domain/gateway/response-observer.js";
-import { formatSocketAddress } from "../../domain/gateway/server-entry.js";
 import {
     CallerGoneError,
     ConnectionFailure,
@@ -32,6 +31,7 @@
 import { addressedParts, type LayerPath } from "./layer-path-finder.js";
 import { pollUntilDefined, shortWaitEnd } from "./poll-until-defined.js";
 import type { RetryAdvice } from "./retry-advice.js";
+import { ServerFaults } from "./server-faults.js";
 import { callerPatienceMilliseconds, computeStallLimits } from "./stall-limits.js";
 import { AttemptEnd, type AttemptResult } from "./stream-attempt.js";
 import { StreamCost, type StreamCostDependencies } from "./stream-cost.js";
@@ -59,10 +59,9 @@
 const refusedServerRetryMilliseconds = 100;
 /** Delay after the first refusal of a stream that has begun; doubles with each further refusal. */
 const initialRefusalDelayMilliseconds = 25;
-const serviceUnavailableStatus = 503;
 
 export class StreamRequestHandler {
-    private readonly avoidedServers = new Set<string>();
+    private readonly faults: ServerFaults;
     private readonly progress: StreamProgress;
     private readonly crashGuard: CrashGuard;
     private readonly runs: CompetingRuns<StreamRun>;
@@ -78,6 +77,7 @@
         private readonly response: CallerResponse,
     ) {
         this.runs = new CompetingRuns(dependencies.failures);
+        this.faults = new ServerFaults(dependencies);
         this.progress = new StreamProgress(response);
         this.crashGuard = new CrashGuard(dependencies, request);
         this.cost = new StreamCost(dependencies, request, engine, this.progress);
@@ -117,7 +117,7 @@
             return true;
         }
         this.countRefusal(result);
-        this.avoidFaultyServers(run.path, result);
+        this.faults.record(run.path, result);
         return this.runs.allEnded && await this.finishOrRetry(result);
     }
 
@@ -149,7 +149,7 @@
             : shortWaitEnd(request.receivedAt, request.deadline - request.receivedAt);
         const findPath = () => {
             this.refuseLateInShutdown();
-            const path = chooseAvoiding(this.avoidedServers)
+            const path = chooseAvoiding(this.faults.avoidedServers)
                 ?? (monotonicNow() >= includeAvoidedAt ? chooseAvoiding(new Set()) : undefined);
             if (path === undefined) {
                 this.refuseIfPausedBeyond(until);
@@ -226,7 +226,7 @@
             mayStartRival: current => this.mayStartRival(current),
             startRival: (current, rivalPath, avoided) => this.startRival(current, rivalPath, avoided),
             choosePath: avoided =>
-                this.choosePathAvoiding(new Set([...this.avoidedServers, ...avoided]))
+                this.choosePathAvoiding(new Set([...this.faults.avoidedServers, ...avoided]))
                     ?? this.choosePathAvoiding(avoided),
             chooseReplacement: (current, lost) =>
                 dependencies.paths.chooseReplacement(service, engine, cost.size, current, lost),
@@ -252,7 +252,7 @@
             return false;
         }
         this.runs.endRivalOf(run, AttemptEnd.lost, "a backend server on the path is lost");
-        avoided.forEach(id => this.avoidedServers.add(id));
+        this.faults.avoid(avoided);
         this.startRun(path);
         return true;
     }
@@ -283,44 +283,6 @@
         return this.startedRuns - this.refusals;
     }
 
-    /** Excludes the servers at fault from the paths of later runs. */
-    private avoidFaultyServers(path: LayerPath, result: AttemptResult): void {
-        const atFault = this.serverAtFault(result);
-        const firstServerId = path.parts[0]!.server.id;
-        if (result.end === AttemptEnd.notRun) {
-            this.avoidedServers.add(atFault ?? firstServerId);
-            this.recordRefusal(atFault ?? firstServerId, result);
-        }
-        else if (result.end === AttemptEnd.failure) {
-            this.avoidedServers.add(atFault ?? firstServerId);
-        }
-        else if (result.end === AttemptEnd.broken) {
-            path.parts.forEach(part => this.avoidedServers.add(part.server.id));
-        }
-    }
-
-    private recordRefusal(serverId: string, { head, reason, connectionFailure }: AttemptResult): void {
-        const { exclusions } = this.dependencies;
-        // The runtime's refusal to send a request says nothing about the server.
-        if (connectionFailure === ConnectionFailure.unsendable) {
-            return;
-        }
-        if (head?.status === serviceUnavailableStatus) {
-            exclusions.recordRefusal(serverId, reason);
-        }
-        else {
-            exclusions.recordFailure(serverId, reason);
-        }
-    }
-
-    /** Returns the ID of the server that a refusal names as the cause, if it names a registered one. */
-    private serverAtFault({ head }: AttemptResult): string | undefined {
-        const { dialect, registry } = this.dependencies;
-        const value = head?.headers[dialect.headers.serverAtFault];
-        const address = typeof value === "string" ? dialect.parseAddress(value) : undefined;
-        return address === undefined ? undefined : registry.findByAddress(formatSocketAddress(address))?.entry.id;
-    }
-
     /**
      * Returns true if the backend server's error response was forwarded to the caller, and false if another run has been
      * started. Throws otherwise.
@@ -389,7 +351,7 @@
     private log({ path, startedAt }: StreamRun, result: AttemptResult): void {
         const { request, progress, dependencies } = this;
         const { registry, metrics, logger } = dependencies;
-        const atFault = this.serverAtFault(result);
+        const atFault = this.faults.serverAtFault(result);
         const registryGeneration = registry.generation;
         const { size } = this.cost;
         logEndedRun({ request, size, path, result, startedAt, atFault, registryGeneration, progress }, metrics, logger);
--- a/src/request/service/service-handler.ts
+++ b/src/request/service/service-handler.ts
@@ -4,6 +4,7 @@
  */
 import type { ServerResponse } from "node:http";
 import { pipeline } from "node:stream/promises";
+import { ByteCollector } from "../../common/byte-collector.js";
 import { isCustomerAllowed, type PlainService } from "../../domain/configuration.js";
 import { BadRequestError, NotFoundError } from "../../errors/index.js";
 import type { BookingService } from "../booking/booking-service.js";
@@ -135,21 +136,19 @@
 }
 
 async function bufferResponse(response: ServiceResponse, maximumBytes: number): Promise<BufferedServiceResponse> {
-    const chunks: Buffer[] = [];
-    let receivedBytes = 0;
+    const collector = new ByteCollector();
     for await (const chunk of response.body as AsyncIterable<Buffer>) {
-        receivedBytes += chunk.length;
-        if (receivedBytes > maximumBytes) {
+        if (collector.bytes + chunk.length > maximumBytes) {
             response.body.destroy();
             throw new BadRequestError(`The service's response is longer than the limit of ${maximumBytes} bytes.`);
         }
-        chunks.push(chunk);
+        collector.append(chunk);
     }
     const contentType = response.headers["content-type"];
     return {
         status: response.status,
         contentType: typeof contentType === "string" ? contentType : defaultContentType,
-        body: Buffer.concat(chunks),
+        body: collector.take(),
     };
 }
 
--- a/test/platform/stand-ins/backend-server.ts
+++ b/test/platform/stand-ins/backend-server.ts
@@ -19,8 +19,10 @@
     | "encoded"
     /** These send bytes without end, which are no answer, until the connection is closed. */
     | "endless-head"
+    | "endless-empty-lines"
     | "endless-interim-responses"
     | "endless-body"
+    | "endless-tiny-chunks"
     | "endless-error-body"
     | "endless-comments"
     | "endless-event"
@@ -70,6 +72,8 @@
 const chunk = (text: string) => `${text.length.toString(16)}\r\n${text}\r\n`;
 const endlessUnits: Partial<Record<Behavior, EndlessUnit>> = {
     "endless-head": { start: "HTTP/1.1 200 OK\r\n", unit: "X-More: 1\r\n" },
+    "endless-empty-lines": { start: "", unit: "\r\n" },
+    "endless-tiny-chunks": { start: chunkedHead("200 OK"), unit: chunk("x") },
     "endless-interim-responses": { start: "", unit: "HTTP/1.1 102 Processing\r\n\r\n" },
     "endless-body": { start: chunkedHead("200 OK"), unit: chunk("x".repeat(1_000)) },
     "endless-error-body": { start: chunkedHead("500 Internal Server Error"), unit: chunk("x".repeat(1_000)) },
