--- a/bench/layer-path.bench.ts
+++ b/bench/layer-path.bench.ts
@@ -5,10 +5,12 @@
  */
 import { SilentLogger } from "../src/common/logger.js";
 import { SeededRandom } from "../src/common/random.js";
+import { initialPosition } from "../src/domain/gateway/store-position.js";
 import type { LoadEstimate } from "../src/process/gateway/fleet-load.js";
 import { HalfCopyStandby } from "../src/process/gateway/layer-placement/standby-servers.js";
 import { ServerExclusions } from "../src/process/gateway/server-exclusions.js";
 import { ServerRegistry } from "../src/process/gateway/server-registry.js";
+import { ReadContext } from "../src/process/gateway/store-observer.js";
 import { LayerPathChooser } from "../src/request/gateway/layer-path-chooser.js";
 import { CheapestLayerPathFinder } from "../src/request/gateway/layer-path-finder.js";
 import {
@@ -33,9 +35,9 @@
     const registry = new ServerRegistry(0, new SilentLogger());
     const entries = createEngineFleet({ engines, availabilityZones });
     registry.replaceAll({
-        entries: new Map(entries.map(entry => [entry.id, { entry, revision: 1 }])),
-        revision: 1,
-        afterOutage: false,
+        entries: new Map(entries.map(entry => [entry.id, { entry, position: initialPosition }])),
+        position: initialPosition,
+        context: ReadContext.continuous,
     });
     const requests = new Map(entries.map(({ id }) => [id, Math.floor(maximumRequests * random.next())]));
     const load: LoadEstimate = {
--- a/src/connection/gateway/peer-leadership.ts
+++ b/src/connection/gateway/peer-leadership.ts
@@ -12,11 +12,21 @@
 const maximumOffers = 4;
 const acceptedStatus = 204;
 
-const offerSchema = z.object({ leaseId: wholeNumber(), holder: z.string(), renewedMillisecondsAgo: quantity() });
+const offerSchema = z.object({
+    leaseId: wholeNumber(),
+    era: z._default(wholeNumber(), 0),
+    holder: z.string(),
+    renewedMillisecondsAgo: quantity(),
+});
 
 /** Throws InvalidPeerMessageError if the text is not a valid leadership offer. */
 export function decodeOffer(text: string): LeadershipOffer {
-    return parsePeerMessage("leadership offer", offerSchema, text);
+    const { leaseId, era, ...offer } = parsePeerMessage("leadership offer", offerSchema, text);
+    return { ...offer, lease: { id: leaseId, era } };
+}
+
+function encodeOffer({ lease, holder, renewedMillisecondsAgo }: LeadershipOffer): Buffer {
+    return Buffer.from(JSON.stringify({ leaseId: lease.id, era: lease.era, holder, renewedMillisecondsAgo }));
 }
 
 export class HttpLeadershipHandover implements LeadershipHandover {
@@ -41,7 +51,7 @@
     }
 
     private async send(router: SocketAddress, offer: LeadershipOffer): Promise<number> {
-        const body = Buffer.from(JSON.stringify(offer));
+        const body = encodeOffer(offer);
         const { status } = await this.client.send(router, {
             method: "POST",
             path: offerPath,
--- a/src/connection/gateway/peer-notices.ts
+++ b/src/connection/gateway/peer-notices.ts
@@ -49,6 +49,7 @@
 
 const noticeSchema = z.object({
     sender: z.string(),
+    storeEra: z.optional(wholeNumber()),
     servers: z.array(z.object({
         id: z.string(),
         bornAt: z.optional(wholeNumber()),
@@ -87,9 +88,10 @@
 });
 
 export function encodeNotice(notice: PlacementNotice): Buffer {
-    const { sender, servers, otherLoads, otherWork, retryGrants, slowdowns, customerLimits } = notice;
+    const { sender, storeEra, servers, otherLoads, otherWork, retryGrants, slowdowns, customerLimits } = notice;
     return Buffer.from(JSON.stringify({
         sender,
+        storeEra,
         servers,
         otherLoads: formatLoads(otherLoads),
         otherWork: formatWork(otherWork),
@@ -102,9 +104,10 @@
 /** Throws InvalidPeerMessageError if the text is not a valid placement notice. */
 export function decodeNotice(text: string): PlacementNotice {
     const notice = parsePeerMessage("placement notice", noticeSchema, text);
-    const { sender, servers, otherLoads, otherWork, retryGrants, slowdowns, customerLimits } = notice;
+    const { sender, storeEra, servers, otherLoads, otherWork, retryGrants, slowdowns, customerLimits } = notice;
     return {
         sender,
+        storeEra,
         servers: servers.map(({ id, bornAt, layers, lost }) => ({ id, bornAt, layers, lost })),
         otherLoads: parseLoads(otherLoads),
         otherWork: parseWork(otherWork),
--- a/src/connection/gateway/peer-server.ts
+++ b/src/connection/gateway/peer-server.ts
@@ -9,21 +9,25 @@
 import type { Logger } from "../../common/logger.js";
 import type { MemoryLedger } from "../../common/memory-ledger.js";
 import { readBoundedText } from "../../common/read-bounded-text.js";
+import type { PeerConfiguration } from "../../domain/gateway/configuration-source.js";
 import type { LeadershipOffer } from "../../domain/gateway/leadership-offer.js";
 import type { PlacementNotice, RouterReport } from "../../domain/gateway/placement-notice.js";
+import type { StorePosition } from "../../domain/gateway/store-position.js";
 import type { StoreSnapshot } from "../../domain/gateway/store-snapshot.js";
 import { maximumPeerMessageBytes } from "./peer-client.js";
+import { afterVersionParameter, configurationPath, encodePeerConfiguration } from "./peer-configurations.js";
 import { decodeOffer, offerPath } from "./peer-leadership.js";
 import { decodeNotice, encodeReport, noticePath } from "./peer-notices.js";
-import { afterRevisionParameter, encodeSnapshot, snapshotPath } from "./peer-snapshots.js";
+import { afterEraParameter, afterRevisionParameter, encodeSnapshot, snapshotPath } from "./peer-snapshots.js";
 
 export interface PeerServerOptions {
     /** Applies a notice; returns what this router itself runs and has sent. */
     receiveNotice(notice: PlacementNotice): RouterReport;
     /** Returns whether this router accepts the placement leadership. */
     acceptLeadership(offer: LeadershipOffer): boolean;
-    /** Undefined if this router's copy of the store is not newer than the revision. */
-    snapshotAfter(revision: number): StoreSnapshot | undefined;
+    /** Undefined if this router's copy of the store is not newer than the position. */
+    snapshotAfter(position: StorePosition): StoreSnapshot | undefined;
+    configurationAfter(version: number): PeerConfiguration;
     readonly memory: MemoryLedger;
     readonly failures: FailureReporter;
     readonly logger: Logger;
@@ -39,8 +43,14 @@
             return handleLeadershipOffer(message, response, options);
         }
         if (message.method === "GET" && path === snapshotPath) {
-            const afterRevision = new URLSearchParams(query).get(afterRevisionParameter);
-            return sendSnapshot(Number(afterRevision ?? 0), response, options);
+            const parameters = new URLSearchParams(query);
+            const readNumber = (name: string) => Number(parameters.get(name) ?? 0) || 0;
+            const after = { era: readNumber(afterEraParameter), revision: readNumber(afterRevisionParameter) };
+            return sendSnapshot(after, response, options);
+        }
+        if (message.method === "GET" && path === configurationPath) {
+            const afterVersion = Number(new URLSearchParams(query).get(afterVersionParameter) ?? 0) || 0;
+            return sendJson(response, encodePeerConfiguration(options.configurationAfter(afterVersion)));
         }
         return sendStatus(response, 404);
     });
@@ -104,8 +114,8 @@
     }
 }
 
-function sendSnapshot(afterRevision: number, response: ServerResponse, options: PeerServerOptions): void {
-    const snapshot = options.snapshotAfter(afterRevision);
+function sendSnapshot(after: StorePosition, response: ServerResponse, options: PeerServerOptions): void {
+    const snapshot = options.snapshotAfter(after);
     if (snapshot === undefined) {
         sendStatus(response, 204);
         return;
--- a/src/daemon/gateway/gateway.ts
+++ b/src/daemon/gateway/gateway.ts
@@ -129,13 +129,14 @@
         const { listen } = this.settings;
         const { failures } = this;
         const { fleetLoad, retries, slowdownSurvey, shares } = this.requestPath;
-        const { registry, storeWatcher, storeCache, snapshotFallback, routers, leadership, recordWriters } = this.state;
+        const { registry, storeWatcher, storeEra, snapshotFallback, routers, leadership, recordWriters } = this.state;
         const readiness = createContainedServer("readiness request", this.failures, (_request, response) => {
             response.writeHead(this.isReady() ? 200 : 503, { "Content-Length": "0" });
             response.end();
         });
         const peers = createPeerServer({
             receiveNotice: notice => {
+                storeEra.observe(notice.storeEra);
                 registry.applyNotice(notice.servers);
                 fleetLoad.applyOtherLoads(notice.otherLoads, notice.otherWork);
                 retries.applyGrants(notice.retryGrants);
@@ -149,7 +150,8 @@
                 };
             },
             acceptLeadership: offer => leadership.adopt(offer),
-            snapshotAfter: revision => storeCache.snapshotAfter(revision),
+            snapshotAfter: position => this.state.snapshotAfter(position),
+            configurationAfter: version => this.state.configurationAfter(version),
             memory,
             failures,
             logger: this.logger.withLabel("peers"),
@@ -163,6 +165,7 @@
         this.lifeCycle.add(this.state.peerClient);
         this.lifeCycle.add(storeWatcher);
         recordWriters.forEach(writer => this.lifeCycle.add(writer));
+        this.lifeCycle.add(this.state.recovery);
         this.lifeCycle.add(snapshotFallback);
         this.lifeCycle.add(routers);
         this.lifeCycle.add(leadership);
--- a/src/daemon/gateway/prompt-quarantine.ts
+++ b/src/daemon/gateway/prompt-quarantine.ts
@@ -12,6 +12,7 @@
 import { evidenceMilliseconds } from "../../process/gateway/prompt-quarantine/evidence-log.js";
 import { LeasedRecordWriter } from "../../process/gateway/prompt-quarantine/leased-record-writer.js";
 import { PromptQuarantine } from "../../process/gateway/prompt-quarantine/prompt-quarantine.js";
+import { QuarantineRestoration } from "../../process/gateway/prompt-quarantine/quarantine-restoration.js";
 
 export interface PromptQuarantineOptions {
     /** Unique to this process. */
@@ -19,6 +20,7 @@
     readonly store: MetadataStore;
     readonly layout: StoreLayout;
     readonly configuration: ActiveConfiguration;
+    readonly routerCount: () => number;
     readonly random: RandomSource;
     readonly failures: FailureReporter;
     readonly metrics: Metrics;
@@ -27,6 +29,7 @@
 
 export interface ComposedQuarantine {
     readonly quarantine: PromptQuarantine;
+    readonly restoration: QuarantineRestoration;
     readonly recordWriters: readonly ManagedComponent[];
 }
 
@@ -60,5 +63,7 @@
         metrics,
         logger,
     });
-    return { quarantine, recordWriters: [evidenceWriter, blockWriter] };
+    const { routerCount } = options;
+    const restoration = new QuarantineRestoration({ quarantine, blockWriter, evidenceWriter, routerCount, random });
+    return { quarantine, restoration, recordWriters: [evidenceWriter, blockWriter] };
 }
--- a/src/daemon/gateway/request-path.ts
+++ b/src/daemon/gateway/request-path.ts
@@ -157,6 +157,7 @@
         registry,
         configuration: state.configuration,
         leadership: state.leadership,
+        storeEra: state.storeEra,
         exclusions,
         planner: new ZoneLayerPlanner(),
         standbyPolicy,
--- a/src/domain/gateway/leadership-offer.ts
+++ b/src/domain/gateway/leadership-offer.ts
@@ -1,7 +1,8 @@
 /** Transfers the placement leadership directly between routers while the store is unavailable. */
+import type { StoreLease } from "./store-position.js";
 
 export interface LeadershipOffer {
-    readonly leaseId: number;
+    readonly lease: StoreLease;
     /** Name in the store's leadership key; after an earlier handover, the router that first acquired the lease. */
     readonly holder: string;
     /** Time since the store last confirmed a renewal of the lease. */
--- a/src/domain/gateway/placement-notice.ts
+++ b/src/domain/gateway/placement-notice.ts
@@ -81,6 +81,8 @@
 
 export interface PlacementNotice {
     readonly sender: string;
+    /** Era of the store in which the sender leads; undefined if the store states none. */
+    readonly storeEra?: number | undefined;
     readonly servers: readonly ServerNotice[];
     /** Total load of all routers except the receiver. */
     readonly otherLoads: ServerLoads;
--- a/src/domain/gateway/server-entry.ts
+++ b/src/domain/gateway/server-entry.ts
@@ -22,6 +22,8 @@
     readonly kind: string | undefined;
     /** Layers that the server has loaded. */
     readonly layers: LayerRange | undefined;
+    /** Heartbeats since the server's start, which order what the server has stated; undefined if it does not count them. */
+    readonly heartbeats?: number | undefined;
 }
 
 /** The state that a model engine reports on request; a few hundred milliseconds old. */
--- a/src/errors/platform-errors.ts
+++ b/src/errors/platform-errors.ts
@@ -58,6 +58,19 @@
     }
 }
 
+const outdatedAnswerDefinition = defineError({
+    code: "platform-answer-outdated",
+    title: "The platform's store answered from before it came back from a copy",
+    hint: "The router does not use the answer. If it happens again and again, check the era that the store states.",
+});
+
+/** An answer of the store states an era before one that it has stated already. */
+export class OutdatedStoreAnswerError extends PomelostallError {
+    constructor(stated: number, current: number) {
+        super(outdatedAnswerDefinition, `The store's answer is of era ${stated}, before the current one, ${current}.`);
+    }
+}
+
 const historyLostDefinition = defineError({
     code: "platform-history-lost",
     title: "The platform no longer has the requested changes",
--- a/src/process/gateway/active-configuration.ts
+++ b/src/process/gateway/active-configuration.ts
@@ -8,6 +8,7 @@
     /** Emits each configuration when it becomes active. */
     readonly changes = this.broadcast.stream;
     private latest: GatewayConfiguration | undefined;
+    private latestEncoded: Buffer | undefined;
 
     constructor(private readonly logger: Logger) {}
 
@@ -16,16 +17,22 @@
         return this.latest;
     }
 
+    /** The active configuration as it was published. */
+    get currentEncoded(): Buffer | undefined {
+        return this.latestEncoded;
+    }
+
     /**
      * Activates the configuration if its version is higher than the active one; returns whether it did. `source` names
      * the origin in the log.
      */
-    applyIfNewer(configuration: GatewayConfiguration, source: string): boolean {
+    applyIfNewer(configuration: GatewayConfiguration, source: string, encoded?: Buffer): boolean {
         const before = this.latest?.version;
         if (before !== undefined && configuration.version <= before) {
             return false;
         }
         this.latest = configuration;
+        this.latestEncoded = encoded;
         this.logger.info("configuration activated", {
             version: configuration.version,
             before,
--- a/src/process/gateway/layer-placement/placement-leadership.ts
+++ b/src/process/gateway/layer-placement/placement-leadership.ts
@@ -5,6 +5,9 @@
  * orders that the engine had begun before, so that orders of two leaders cannot both take effect. The monotonic clock
  * stops during a suspension and the wall clock does not, so a difference between them reveals a suspension; the router
  * then stops leading until the store has renewed the lease.
+ *
+ * A lease ends with the era of the store that granted it. A leader whose key is in the store of the new era replaces it on
+ * the condition of its position, and leads again once that has succeeded.
  */
 import { delay, monotonicNow } from "../../../common/clock.js";
 import type { FailureBoundary, FailureReporter } from "../../../common/failure-boundary.js";
@@ -13,8 +16,10 @@
 import type { RandomSource } from "../../../common/random.js";
 import type { LeadershipHandover, LeadershipOffer } from "../../../domain/gateway/leadership-offer.js";
 import type { MetadataStore } from "../../../domain/gateway/metadata-store.js";
+import { comparePositions, type StoreLease, type StorePosition } from "../../../domain/gateway/store-position.js";
 import { LeaseLostError, PlatformUnavailableError } from "../../../errors/index.js";
-import type { LeaderKeyObserver } from "../store-dispatcher.js";
+import type { LeaderKey, LeaderKeyObserver } from "../store-dispatcher.js";
+import type { StoreEra } from "../store-era.js";
 
 /** Lease duration, unless the store's minimum is longer; bounds the time without a leader after a crash. */
 const preferredLeaseDurationMilliseconds = 3_000;
@@ -26,11 +31,12 @@
 const outageExtensionMilliseconds = 12_000;
 /** Difference between the clocks that indicates a suspension or a step of the wall clock. */
 const clockToleranceMilliseconds = 1_500;
+const absent = "absent";
 /** Claims are delayed randomly, so that most routers see the winner's key before they would send their own claim. */
 const maximumClaimDelayMilliseconds = 500;
 
 interface HeldLease {
-    readonly id: number;
+    readonly lease: StoreLease;
     /** Value of the key that is bound to the lease. */
     readonly holder: string;
     /** Monotonic time at which the last successful renewal was sent. */
@@ -39,6 +45,8 @@
     renewedAtWallClock: number;
     /** The store is known to hold the key under this lease. */
     confirmed: boolean;
+    /** Position of the key that the claim of this lease replaces; undefined if there was none. */
+    readonly replaces?: StorePosition | undefined;
 }
 
 export class PlacementLeadership implements ManagedComponent, LeaderKeyObserver {
@@ -48,7 +56,8 @@
     private lease: HeldLease | undefined;
     private campaign: Promise<void> | undefined;
     private readonly boundary: FailureBoundary;
-    private keyAbsent = false;
+    /** The key that a claim has to replace, and `absent` if there is none; undefined while another router's key is there. */
+    private claimable: LeaderKey | typeof absent | undefined;
     /** Values of the key under which this router leads: its own holder name and those of adopted leases. */
     private readonly ownHolderNames: Set<string>;
 
@@ -58,6 +67,7 @@
         /** Value that this router writes under the key; unique to this process. */
         private readonly holder: string,
         minimumLeaseMilliseconds: number,
+        private readonly era: Pick<StoreEra, "current">,
         private readonly handover: LeadershipHandover,
         private readonly random: RandomSource,
         failures: FailureReporter,
@@ -89,9 +99,9 @@
         const storeAnswers = renewedMillisecondsAgo
             < (this.leaseDurationMilliseconds / renewalsPerLease) * missedRenewalsUntilUnavailable;
         const handedOver = wasLeader && !storeAnswers
-            && await this.handover.offer({ leaseId: held.id, holder: held.holder, renewedMillisecondsAgo });
+            && await this.handover.offer({ lease: held.lease, holder: held.holder, renewedMillisecondsAgo });
         if (!handedOver) {
-            await this.store.revokeLease(held.id).catch((error: unknown) =>
+            await this.store.revokeLease(held.lease).catch((error: unknown) =>
                 this.logger.warn("could not revoke the placement lease; it remains until it expires", {
                     error: String(error),
                 })
@@ -100,12 +110,13 @@
     }
 
     /** Takes the lease over from a leader that stops while the store is unavailable; false if the offer is rejected. */
-    adopt({ leaseId, holder, renewedMillisecondsAgo }: LeadershipOffer): boolean {
-        if (this.stopping.signal.aborted || this.lease !== undefined) {
+    adopt({ lease: offered, holder, renewedMillisecondsAgo }: LeadershipOffer): boolean {
+        const isOutdated = offered.era !== this.era.current;
+        if (this.stopping.signal.aborted || this.lease !== undefined || isOutdated) {
             return false;
         }
         const lease: HeldLease = {
-            id: leaseId,
+            lease: offered,
             holder,
             renewedAt: monotonicNow() - renewedMillisecondsAgo,
             renewedAtWallClock: Date.now() - renewedMillisecondsAgo,
@@ -117,18 +128,26 @@
         return true;
     }
 
-    leaderKeyChanged(value: Buffer | undefined): void {
-        this.keyAbsent = value === undefined;
-        const isOwnKey = value !== undefined && this.ownHolderNames.has(value.toString("utf8"));
-        if (isOwnKey && this.lease !== undefined && !this.lease.confirmed) {
+    /** Ends a lease of an earlier era, without revoking it: its ID may be another router's. */
+    handleNewEra(): void {
+        this.claimable = undefined;
+        if (this.lease !== undefined) {
+            this.stepDown("the store came back from a copy");
+        }
+    }
+
+    leaderKeyChanged(key: LeaderKey | undefined): void {
+        const isOwnKey = key !== undefined && this.ownHolderNames.has(key.holder);
+        if (isOwnKey && this.lease?.confirmed === false && isLater(key.position, this.lease.replaces)) {
             this.confirm(this.lease);
         }
         else if (!isOwnKey && this.lease?.confirmed === true) {
             this.stepDown("the key was removed or is held by another router");
         }
-        if (this.keyAbsent && this.campaign === undefined) {
+        this.claimable = findClaimable(key, isOwnKey && this.lease === undefined);
+        if (this.claimable !== undefined && this.campaign === undefined) {
             this.boundary.run(() => {
-                this.campaign = this.claimWhileAbsent().finally(() => {
+                this.campaign = this.claimWhilePossible().finally(() => {
                     this.campaign = undefined;
                 });
                 return this.campaign;
@@ -136,18 +155,18 @@
         }
     }
 
-    private async claimWhileAbsent(): Promise<void> {
-        while (this.keyAbsent && !this.stopping.signal.aborted) {
-            await delay(this.random.next() * maximumClaimDelayMilliseconds, this.stopping.signal);
-            if (!this.keyAbsent || this.stopping.signal.aborted) {
+    private async claimWhilePossible(): Promise<void> {
+        while (this.claimable !== undefined && !this.stopping.signal.aborted) {
+            const isContested = this.claimable === absent;
+            await delay(isContested ? this.random.next() * maximumClaimDelayMilliseconds : 0, this.stopping.signal);
+            if (this.claimable === undefined || this.stopping.signal.aborted) {
                 return;
             }
             try {
-                await this.claim();
-                return;
+                await this.claim(this.claimable);
             }
             catch (error) {
-                this.logger.warn("could not claim the placement key; retrying while it is absent", {
+                this.logger.warn("could not claim the placement key; retrying while it is absent or this router's", {
                     error: String(error),
                 });
                 await this.waitForUncertainClaim(error);
@@ -162,32 +181,37 @@
         }
     }
 
-    private async claim(): Promise<void> {
+    private async claim(replaced: LeaderKey | typeof absent): Promise<void> {
         const sentAt = monotonicNow();
         const sentAtWallClock = Date.now();
-        const id = await this.store.grantLease(this.leaseDurationMilliseconds);
+        const granted = await this.store.grantLease(this.leaseDurationMilliseconds);
         const lease: HeldLease = {
-            id,
+            lease: granted,
             holder: this.holder,
             renewedAt: sentAt,
             renewedAtWallClock: sentAtWallClock,
             confirmed: false,
+            replaces: replaced === absent ? undefined : replaced.position,
         };
         this.lease = lease;
         if (this.stopping.signal.aborted) {
             return;
         }
         const committed = await this.store.commit({
-            conditions: [{ key: this.key, revision: 0 }],
-            writes: [{ key: this.key, value: Buffer.from(this.holder), leaseId: id }],
+            conditions: [{ key: this.key, position: lease.replaces }],
+            writes: [{ key: this.key, value: Buffer.from(this.holder), lease: granted }],
         });
+        if (this.lease !== lease) {
+            // The era has changed meanwhile.
+            return;
+        }
         if (committed) {
             this.confirm(lease);
         }
         else {
             this.lease = undefined;
         }
-        this.keyAbsent = false;
+        this.claimable = undefined;
     }
 
     private confirm(lease: HeldLease): void {
@@ -195,7 +219,7 @@
             return;
         }
         lease.confirmed = true;
-        this.logger.info("became placement leader", { lease: lease.id });
+        this.logger.info("became placement leader", { lease: lease.lease.id });
         this.boundary.run(() => this.renew(lease));
     }
 
@@ -213,7 +237,7 @@
         const sentAt = monotonicNow();
         const sentAtWallClock = Date.now();
         try {
-            await this.store.renewLease(lease.id);
+            await this.store.renewLease(lease.lease);
             lease.renewedAt = sentAt;
             lease.renewedAtWallClock = sentAtWallClock;
         }
@@ -241,3 +265,12 @@
             || Math.abs(elapsedWallClock - elapsed) >= clockToleranceMilliseconds;
     }
 }
+
+function isLater(position: StorePosition, than: StorePosition | undefined): boolean {
+    return than === undefined || comparePositions(position, than) > 0;
+}
+
+/** A key of this router without a lease was written under one of an earlier era, or by a claim whose outcome is unknown. */
+function findClaimable(key: LeaderKey | undefined, isOwnWithoutLease: boolean): LeaderKey | typeof absent | undefined {
+    return key === undefined ? absent : (isOwnWithoutLease ? key : undefined);
+}
--- a/src/process/gateway/layer-placement/placement-loop.ts
+++ b/src/process/gateway/layer-placement/placement-loop.ts
@@ -20,6 +20,7 @@
 import type { ServerExclusions } from "../server-exclusions.js";
 import type { ServerRegistry } from "../server-registry.js";
 import type { ServerSlowdowns } from "../server-slowdowns.js";
+import type { StoreEra } from "../store-era.js";
 import { EngineState } from "./engine-state.js";
 import { layersThatFit, minimumMemoryReserve, preferredMemoryReserve } from "./layer-capacity.js";
 import type { StandbyPolicy } from "./standby-servers.js";
@@ -41,6 +42,7 @@
     readonly registry: ServerRegistry;
     readonly configuration: ActiveConfiguration;
     readonly leadership: LeadershipSource;
+    readonly storeEra: Pick<StoreEra, "stated">;
     readonly exclusions: ServerExclusions;
     readonly planner: LayerPlanner;
     readonly standbyPolicy: StandbyPolicy;
@@ -266,6 +268,7 @@
         notices.send(
             router => ({
                 sender,
+                storeEra: this.dependencies.storeEra.stated,
                 servers,
                 otherLoads: fleetLoad.totalExcluding(formatSocketAddress(router)),
                 otherWork: fleetLoad.workExcluding(formatSocketAddress(router)),
--- a/src/process/gateway/peer-snapshot-fallback.ts
+++ b/src/process/gateway/peer-snapshot-fallback.ts
@@ -9,12 +9,14 @@
 import { formatSocketAddress, type SocketAddress } from "../../domain/gateway/server-entry.js";
 import type { SnapshotSource } from "../../domain/gateway/store-snapshot.js";
 import type { StoreCache } from "./store-cache.js";
+import type { StoreEra } from "./store-era.js";
 
 /** A quarter of the time within which a configuration must be active; each check costs one small call to one router. */
 const checkIntervalMilliseconds = 500;
 
 export interface PeerSnapshotFallbackDependencies {
     readonly storeCache: StoreCache;
+    readonly era: StoreEra;
     /** Whether the store currently answers this router. */
     storeAnswers(): boolean;
     readonly source: SnapshotSource;
@@ -67,18 +69,20 @@
     }
 
     private async requestSnapshot(router: SocketAddress): Promise<void> {
-        const { storeCache, source, logger } = this.dependencies;
-        const before = storeCache.revision;
+        const { storeCache, era, source, logger } = this.dependencies;
+        const before = storeCache.position;
         const snapshot = await source.readSnapshot(router, before);
         if (snapshot === undefined || this.dependencies.storeAnswers()) {
             return;
         }
         // Treated as a read after an outage: items whose leases expired in the outage may be missing.
-        storeCache.replaceAll(snapshot.items, snapshot.storeRevision, true);
+        era.observe(snapshot.position.era || undefined);
+        storeCache.replaceAll(snapshot.items, snapshot.position, true);
         logger.info("applied a store snapshot from another router", {
             router: formatSocketAddress(router),
-            revision: snapshot.storeRevision,
-            before,
+            revision: snapshot.position.revision,
+            era: snapshot.position.era,
+            before: before.revision,
         });
     }
 }
--- a/src/process/gateway/prompt-quarantine/blocked-parts.ts
+++ b/src/process/gateway/prompt-quarantine/blocked-parts.ts
@@ -6,6 +6,8 @@
 
 /** Also the longest lease that the platform's store grants. */
 export const blockMilliseconds = 600_000;
+/** Of the leases that the platform's store grants. */
+const shortestLeaseMilliseconds = 1_000;
 /** A defect concerns few parts; more keys than this were not written by routers. */
 const maximumParts = 1_000;
 
@@ -38,6 +40,20 @@
         return true;
     }
 
+    /** Keeps the blocks whose keys are missing, as ones that the store does not hold. */
+    keepMissing(parts: ReadonlySet<string>): void {
+        this.blocks.forEach((block, part) => {
+            block.stored &&= parts.has(part);
+        });
+    }
+
+    /** Blocks that hold and whose keys the store is not known to hold. */
+    get unstored(): { readonly part: string; readonly remainingMilliseconds: number; }[] {
+        return [...this.blocks].filter(([, { stored }]) => !stored)
+            .map(([part]) => ({ part, remainingMilliseconds: this.remainingMilliseconds(part) }))
+            .filter(({ remainingMilliseconds }) => remainingMilliseconds >= shortestLeaseMilliseconds);
+    }
+
     remove(part: string): void {
         this.blocks.delete(part);
     }
--- a/src/process/gateway/prompt-quarantine/evidence-log.ts
+++ b/src/process/gateway/prompt-quarantine/evidence-log.ts
@@ -66,6 +66,14 @@
         return this.valid.filter(({ evidence }) => evidence.witness === witness);
     }
 
+    /** Evidence of the witness whose keys are not among the given ones, by its key. */
+    missingIn(keys: ReadonlySet<string>, witness: string): [string, CrashEvidence][] {
+        const own = new Set(this.ofWitness(witness));
+        return [...this.entries.entries()]
+            .filter(([key, entry]) => own.has(entry) && !keys.has(key))
+            .map(([key, { evidence }]) => [key, evidence]);
+    }
+
     remove(key: string): void {
         this.entries.delete(key);
     }
--- a/src/process/gateway/prompt-quarantine/leased-record-writer.ts
+++ b/src/process/gateway/prompt-quarantine/leased-record-writer.ts
@@ -1,7 +1,7 @@
 /**
  * Writes small records to the platform's store that remove themselves: each is bound to a lease that is never renewed.
  * Records wait in a bounded queue while the store is unavailable. A write whose outcome is unknown is repeated under the
- * same key, which must not exist, so it takes effect once at most.
+ * same key, which must not exist, so it takes effect once at most. A lease of an earlier era of the store counts as ended.
  */
 import { delay, monotonicNow } from "../../../common/clock.js";
 import type { ManagedComponent } from "../../../common/life-cycle.js";
@@ -9,11 +9,14 @@
 import type { RandomSource } from "../../../common/random.js";
 import { TokenBucket } from "../../../common/token-bucket.js";
 import type { MetadataStore } from "../../../domain/gateway/metadata-store.js";
+import type { StoreLease } from "../../../domain/gateway/store-position.js";
 import { PlatformUnavailableError } from "../../../errors/index.js";
 
 export interface LeasedRecord {
     readonly key: string;
     readonly value: Buffer;
+    /** Shorter than that of the writer's settings, for a record that is written again. */
+    readonly leaseMilliseconds?: number;
 }
 
 export interface LeasedRecordSettings {
@@ -29,8 +32,8 @@
 const initialRetryDelayMilliseconds = 200;
 const maximumRetryDelayMilliseconds = 2_000;
 
-interface Lease {
-    readonly id: number;
+interface SharedLease {
+    readonly lease: StoreLease;
     readonly grantedAt: number;
 }
 
@@ -39,7 +42,7 @@
     private readonly stopping = new AbortController();
     private readonly queue: LeasedRecord[] = [];
     private readonly rate = new TokenBucket(writesPerSecond, burstWrites);
-    private lease: Lease | undefined;
+    private shared: SharedLease | undefined;
     private running: Promise<void> | undefined;
 
     constructor(
@@ -56,6 +59,11 @@
         await this.running;
     }
 
+    /** Resolves once no record waits to be written. */
+    async waitUntilWritten(): Promise<void> {
+        await this.running;
+    }
+
     write(record: LeasedRecord): void {
         this.queue.push(record);
         if (this.queue.length > maximumQueuedRecords) {
@@ -103,22 +111,25 @@
 
     /** A commit without effect means that the lease has ended or that the key exists; a new lease tells them apart. */
     private async commit(record: LeasedRecord): Promise<void> {
-        if (!await this.commitUnder(await this.currentLease(), record)) {
-            this.lease = undefined;
-            await this.commitUnder(await this.currentLease(), record);
+        if (!await this.commitUnder(await this.leaseFor(record), record)) {
+            this.shared = undefined;
+            await this.commitUnder(await this.leaseFor(record), record);
         }
     }
 
-    private commitUnder(leaseId: number, { key, value }: LeasedRecord): Promise<boolean> {
-        return this.store.commit({ conditions: [{ key, revision: 0 }], writes: [{ key, value, leaseId }] });
+    private commitUnder(lease: StoreLease, { key, value }: LeasedRecord): Promise<boolean> {
+        return this.store.commit({ conditions: [{ key, position: undefined }], writes: [{ key, value, lease }] });
     }
 
-    private async currentLease(): Promise<number> {
+    private async leaseFor({ leaseMilliseconds: ownMilliseconds }: LeasedRecord): Promise<StoreLease> {
         const { leaseMilliseconds, leaseSharingMilliseconds } = this.settings;
+        if (ownMilliseconds !== undefined) {
+            return this.store.grantLease(ownMilliseconds);
+        }
         const grantedAt = monotonicNow();
-        if (this.lease === undefined || grantedAt - this.lease.grantedAt > leaseSharingMilliseconds) {
-            this.lease = { id: await this.store.grantLease(leaseMilliseconds), grantedAt };
+        if (this.shared === undefined || grantedAt - this.shared.grantedAt > leaseSharingMilliseconds) {
+            this.shared = { lease: await this.store.grantLease(leaseMilliseconds), grantedAt };
         }
-        return this.lease.id;
+        return this.shared.lease;
     }
 }
--- a/src/process/gateway/prompt-quarantine/prompt-quarantine.ts
+++ b/src/process/gateway/prompt-quarantine/prompt-quarantine.ts
@@ -9,13 +9,22 @@
 import type { Metrics } from "../../../common/metrics.js";
 import type { ItemChange, StoredItem } from "../../../domain/gateway/metadata-store.js";
 import type { ServerEntry } from "../../../domain/gateway/server-entry.js";
+import { comparePositions, type StorePosition } from "../../../domain/gateway/store-position.js";
+import { ReadContext } from "../store-observer.js";
 import { BlockedParts } from "./blocked-parts.js";
 import { standsOut } from "./crash-attribution.js";
 import { EvidenceLog } from "./evidence-log.js";
 import type { LeasedRecord } from "./leased-record-writer.js";
 import { RecentCounts } from "./recent-counts.js";
 import { RecentNames } from "./recent-names.js";
-import { createEvidenceKey, decodeBlockedPart, decodeEvidence, encodeBlock, encodeEvidence } from "./store-records.js";
+import {
+    createEvidenceKey,
+    decodeBlockedPart,
+    decodeEvidence,
+    encodeBlock,
+    encodeEvidence,
+    encodeRestoredBlock,
+} from "./store-records.js";
 import type { CrashAttribution, CrashCause, CrashEvidence } from "./types.js";
 
 /**
@@ -56,6 +65,13 @@
     private readonly witnessedParts = new RecentNames<true>();
     /** Parts of evidence that this router has written to the store. */
     private readonly sharedParts = new RecentNames<true>();
+    /** Keys of that evidence. */
+    private readonly writtenEvidence = new RecentNames<true>();
+    private lostEvidence: [string, CrashEvidence][] = [];
+    /** Parts whose blocks have been lifted. */
+    private readonly liftedParts = new RecentNames<true>();
+    /** Positions of keys that a copy of the store holds for blocks that have been lifted, by part. */
+    private readonly ignoredBlocks = new Map<string, StorePosition>();
 
     private readonly boundary: FailureBoundary;
 
@@ -107,6 +123,7 @@
         this.evidence.add(key, evidence);
         if (this.isWorthSharing(parts)) {
             parts.forEach(part => this.sharedParts.set(part, true));
+            this.writtenEvidence.set(key, true);
             dependencies.writeEvidence({ key, value: encodeEvidence(evidence) });
         }
         this.decideWithNewEvidence();
@@ -127,28 +144,66 @@
     }
 
     /** Receives all items of the store; other keys are ignored. */
-    replaceAll(items: readonly StoredItem[]): void {
-        const { evidencePrefix, blockPrefix } = this.dependencies;
-        const storedParts = items.filter(({ key }) => key.startsWith(blockPrefix)).map(item =>
-            this.confirmBlock(item.key)
-        );
-        this.blocked.retain(new Set(storedParts.filter(part => part !== undefined)))
-            .forEach(part => this.handleEnd(part));
-        items.filter(({ key }) => key.startsWith(evidencePrefix))
-            .sort((left, right) => left.revision - right.revision)
+    replaceAll(items: readonly StoredItem[], context: ReadContext): void {
+        const { evidencePrefix, blockPrefix, witness } = this.dependencies;
+        const blocks = items.filter(({ key }) => key.startsWith(blockPrefix));
+        const evidence = items.filter(({ key }) => key.startsWith(evidencePrefix));
+        if (context === ReadContext.newEra) {
+            this.ignoreLifted(blocks);
+        }
+        const storedParts = new Set(blocks.map(item => this.confirmBlock(item)).filter(part => part !== undefined));
+        if (context === ReadContext.newEra) {
+            this.blocked.keepMissing(storedParts);
+            const keys = new Set(evidence.map(({ key }) => key));
+            this.lostEvidence = this.evidence.missingIn(keys, witness).filter(([key]) => this.writtenEvidence.has(key));
+        }
+        else {
+            this.blocked.retain(storedParts).forEach(part => this.handleEnd(part));
+        }
+        [...evidence].sort((left, right) => comparePositions(left.position, right.position))
             .forEach(({ key, value }) => this.addEvidence(key, value));
         this.decideWithNewEvidence();
     }
 
+    /** Blocks that the store does not hold, as records with what is left of their time. */
+    get unstoredBlocks(): LeasedRecord[] {
+        const { blockPrefix, witness } = this.dependencies;
+        return this.blocked.unstored.map(({ part, remainingMilliseconds }) => ({
+            key: blockPrefix + part,
+            value: encodeRestoredBlock(witness),
+            leaseMilliseconds: Math.floor(remainingMilliseconds),
+        }));
+    }
+
+    /** Evidence of this router that the store has lost with its last return from a copy; empty after the first call. */
+    takeLostEvidence(): LeasedRecord[] {
+        return this.lostEvidence.splice(0).map(([key, evidence]) => ({ key, value: encodeEvidence(evidence) }));
+    }
+
+    /** A copy holds again the keys of blocks that were lifted since. They count if they change. */
+    private ignoreLifted(blocks: readonly StoredItem[]): void {
+        const { blockPrefix, logger } = this.dependencies;
+        for (const { key, position } of blocks) {
+            const part = decodeBlockedPart(key, blockPrefix);
+            if (part !== undefined && this.liftedParts.has(part)) {
+                this.ignoredBlocks.set(part, position);
+                logger.warn("block was lifted before the store came back from a copy; delete its key once more", {
+                    key,
+                });
+            }
+        }
+    }
+
     /** Returns whether the key is one of the quarantine's. */
-    applyChange({ key, value }: ItemChange): boolean {
+    applyChange(change: ItemChange): boolean {
+        const { key, value } = change;
         const { evidencePrefix, blockPrefix } = this.dependencies;
         if (key.startsWith(evidencePrefix)) {
             this.applyEvidence(key, value);
             return true;
         }
         if (key.startsWith(blockPrefix)) {
-            this.applyBlock(key, value);
+            this.applyBlock(change);
             return true;
         }
         return false;
@@ -163,9 +218,9 @@
         }
     }
 
-    private applyBlock(key: string, value: Buffer | undefined): void {
+    private applyBlock({ key, value, position }: ItemChange): void {
         if (value !== undefined) {
-            this.confirmBlock(key);
+            this.confirmBlock({ key, position });
             return;
         }
         const part = decodeBlockedPart(key, this.dependencies.blockPrefix);
@@ -178,6 +233,7 @@
     /** From now on, the part needs another crash here before this router blocks it again. */
     private handleEnd(part: string): void {
         this.witnessedParts.delete(part);
+        this.liftedParts.set(part, true);
         this.dependencies.logger.info("prompt part no longer blocked", { part });
     }
 
@@ -191,13 +247,19 @@
     }
 
     /** Returns the part that the key names; undefined if it names none. */
-    private confirmBlock(key: string): string | undefined {
+    private confirmBlock({ key, position }: Pick<StoredItem, "key" | "position">): string | undefined {
         const { blockPrefix, logger } = this.dependencies;
         const part = decodeBlockedPart(key, blockPrefix);
         if (part === undefined) {
             logger.warn("key of a blocked prompt part cannot be decoded; ignored", { key });
             return undefined;
         }
+        const ignored = this.ignoredBlocks.get(part);
+        if (ignored !== undefined && comparePositions(ignored, position) === 0) {
+            return part;
+        }
+        this.ignoredBlocks.delete(part);
+        this.liftedParts.delete(part);
         const isKnown = this.blocked.remainingMilliseconds(part) > 0;
         if (!this.blocked.confirm(part)) {
             logger.warn("key of a blocked prompt part ignored, since there are too many", { key });
--- a/src/process/gateway/prompt-quarantine/store-records.ts
+++ b/src/process/gateway/prompt-quarantine/store-records.ts
@@ -34,6 +34,11 @@
     return Buffer.from(JSON.stringify({ crashes, successes, decidedBy: witness, decidedAt: new Date().toISOString() }));
 }
 
+/** Of a block that the store has lost. */
+export function encodeRestoredBlock(witness: string): Buffer {
+    return Buffer.from(JSON.stringify({ restoredBy: witness, restoredAt: new Date().toISOString() }));
+}
+
 /** Undefined unless the key names a part of a prompt. */
 export function decodeBlockedPart(key: string, prefix: string): string | undefined {
     const part = key.slice(prefix.length);
--- a/src/process/gateway/server-registry.ts
+++ b/src/process/gateway/server-registry.ts
@@ -4,11 +4,21 @@
  * the moment at which this process first learnt of it, and is not undone by later outages of the store. A departure that
  * the server itself announced is undone only by its next start, whatever the registry says.
  */
+import { isDeepStrictEqual } from "node:util";
 import { monotonicNow } from "../../common/clock.js";
 import type { Logger } from "../../common/logger.js";
 import type { ServerNotice } from "../../domain/gateway/placement-notice.js";
 import { formatSocketAddress, type ServerEntry } from "../../domain/gateway/server-entry.js";
+import { comparePositions, type StorePosition } from "../../domain/gateway/store-position.js";
 import { formatLayerRange, type LayerRange } from "../../domain/layers.js";
+import { ReadContext } from "./store-observer.js";
+
+/** An entry as the store holds it. */
+export interface RegistryItem {
+    readonly entry: ServerEntry;
+    /** Of the entry's last change in the store. */
+    readonly position: StorePosition;
+}
 
 /** A backend server's registry entry and whether the server is leaving. */
 export interface RegisteredServer {
@@ -20,8 +30,8 @@
 }
 
 interface Registration extends RegisteredServer {
-    /** Store revision of the last change that was applied to the server. */
-    readonly revision: number;
+    /** Of the last change or read that was applied to the server. */
+    readonly position: StorePosition;
     /**
      * Registrations expire during an outage of the store. A server that is missing afterwards is treated as present
      * until this monotonic time; undefined for all others.
@@ -32,20 +42,32 @@
 interface AppliedNotice {
     readonly notice: ServerNotice;
     readonly expiresAt: number;
-    /** Store revision of the registry entry that the notice corrects. */
-    readonly revision: number;
+    /** The registry entry that the notice corrects. */
+    readonly entry: ServerEntry;
+}
+
+interface DistrustedItem extends RegistryItem {
+    /** Monotonic time in milliseconds. */
+    readonly until: number;
 }
 
 /** The result of a full read of the registry. */
 export interface RegistryContents {
-    readonly entries: ReadonlyMap<string, { readonly entry: ServerEntry; readonly revision: number; }>;
-    readonly revision: number;
-    /** Whether the read follows an outage of the store, in which the leases of missing entries may have expired. */
-    readonly afterOutage: boolean;
+    readonly entries: ReadonlyMap<string, RegistryItem>;
+    readonly position: StorePosition;
+    readonly context: ReadContext;
 }
 
-/** Removed servers are kept this long for requests that still wait for an answer from them. */
-const removedRetentionMilliseconds = 10_000;
+/**
+ * Removed servers are kept this long: for requests that still wait for an answer from them, and since the store may come back
+ * from a copy, some seconds old, in which they are still registered.
+ */
+const removedRetentionMilliseconds = 60_000;
+/**
+ * A server that is known to have left, or to have stated something newer, is taken at the word of a copy of the store only after
+ * this time. The entry of a server that is gone lapses before, after three missed heartbeats of 1.2 s.
+ */
+const copyDistrustMilliseconds = 10_000;
 /** According to the operators, servers that expired in an outage are registered again within about 2 s of its end. */
 const reregistrationMilliseconds = 2_500;
 /** The leader repeats its notices every 500 ms; without one for this time, the registry entry applies again. */
@@ -58,6 +80,8 @@
     private readonly notices = new Map<string, AppliedNotice>();
     /** Monotonic times of the first announcements of servers that they are leaving, keyed by server and start. */
     private readonly announcements = new Map<string, number>();
+    /** Entries of a copy of the store that are older than what is known of their servers, by server. */
+    private readonly distrusted = new Map<string, DistrustedItem>();
     private readonly listeners = new Set<() => void>();
     private readonly noticeListeners = new Set<() => void>();
     private loaded = false;
@@ -135,25 +159,26 @@
             .map(({ entry }) => entry);
     }
 
-    /** Adds or replaces a server's entry, unless the revision is not newer than the last one applied to the server. */
-    put(entry: ServerEntry, revision: number): void {
+    /** Adds or replaces a server's entry, unless the position is not later than the last one applied to the server. */
+    put(entry: ServerEntry, position: StorePosition): void {
         const before = this.registrations.get(entry.id);
-        if (before !== undefined && before.revision >= revision) {
+        if (before !== undefined && comparePositions(before.position, position) >= 0) {
             return;
         }
+        this.distrusted.delete(entry.id);
         const restarted = before !== undefined && before.entry.bornAt !== entry.bornAt;
         const announcedAt = this.announcements.get(startKey(entry));
         const leavingSince = entry.draining || announcedAt !== undefined
             ? (restarted ? undefined : before?.leavingSince) ?? announcedAt ?? monotonicNow()
             : undefined;
-        this.registrations.set(entry.id, { entry, revision, leavingSince, removed: false, graceEndsAt: undefined });
+        this.registrations.set(entry.id, { entry, position, leavingSince, removed: false, graceEndsAt: undefined });
         this.logger.info("backend server registered", {
             server: entry.id,
             address: formatSocketAddress(entry.address),
             zone: entry.availabilityZone,
             draining: entry.draining,
             layers: entry.layers === undefined ? undefined : formatLayerRange(entry.layers),
-            revision,
+            revision: position.revision,
         });
         this.notify();
     }
@@ -181,35 +206,47 @@
         this.notify();
     }
 
-    /** Marks a server as removed, unless the revision is not newer than the last one applied to the server. */
-    remove(id: string, revision: number, afterOutage = false): void {
+    /** Marks a server as removed, unless the position is not later than the last one applied to the server. */
+    remove(id: string, position: StorePosition, afterOutage = false): void {
         const before = this.registrations.get(id);
-        if (before === undefined || before.removed || before.revision >= revision) {
+        if (before === undefined || comparePositions(before.position, position) >= 0) {
+            return;
+        }
+        this.distrusted.delete(id);
+        if (before.removed) {
             return;
         }
         const now = monotonicNow();
         const expired = afterOutage && before.leavingSince === undefined;
         this.registrations.set(id, {
             ...before,
-            revision,
+            position,
             removed: true,
             leavingSince: before.leavingSince ?? now,
             graceEndsAt: expired ? now + this.expiryGraceMilliseconds : undefined,
         });
-        this.logger.info("backend server removed from the registry", { server: id, revision, lapsed: expired });
+        this.logger.info("backend server removed from the registry", {
+            server: id,
+            revision: position.revision,
+            lapsed: expired,
+        });
         this.notify();
     }
 
     /** Applies a full read: servers that are missing in it are removed, unless their entry is newer than the read. */
-    replaceAll({ entries, revision, afterOutage }: RegistryContents): void {
-        for (const { entry, revision: entryRevision } of entries.values()) {
-            this.put(entry, entryRevision);
-        }
-        for (const [id, registration] of this.registrations) {
-            if (!entries.has(id) && registration.revision < revision) {
-                this.remove(id, revision, afterOutage);
+    replaceAll({ entries, position, context }: RegistryContents): void {
+        const isCopy = context === ReadContext.newEra;
+        const afterOutage = context !== ReadContext.continuous;
+        for (const item of entries.values()) {
+            if (isCopy) {
+                this.putFromCopy(item);
+            }
+            else {
+                this.put(item.entry, item.position);
             }
         }
+        [...this.registrations.keys()].filter(id => !entries.has(id))
+            .forEach(id => this.remove(id, position, afterOutage));
         if (!this.loaded || afterOutage) {
             this.unstableUntil = monotonicNow() + reregistrationMilliseconds;
         }
@@ -217,6 +254,38 @@
         this.notify();
     }
 
+    /** Number of servers of which more is known than the store's copy holds. */
+    get distrustedCount(): number {
+        return this.distrusted.size;
+    }
+
+    /** A copy's entry counts if the server made it after what is known of the server. */
+    private putFromCopy(item: RegistryItem): void {
+        const { entry, position } = item;
+        const known = this.registrations.get(entry.id);
+        if (known === undefined || isNewerStatement(entry, known.entry)) {
+            this.put(entry, position);
+            return;
+        }
+        // A later change is the server's own, and applies.
+        this.registrations.set(entry.id, { ...known, position });
+        const isSame = known.leavingSince === undefined && haveSameContent(entry, known.entry);
+        if (!isSame) {
+            this.distrusted.set(entry.id, { ...item, until: monotonicNow() + copyDistrustMilliseconds });
+        }
+    }
+
+    /** Applies entries of a copy that have outlasted the time in which they would have been replaced or removed. */
+    private settleDistrusted(now: number): void {
+        for (const [id, { entry, position, until }] of this.distrusted) {
+            if (until <= now) {
+                this.distrusted.delete(id);
+                this.registrations.delete(id);
+                this.put(entry, position);
+            }
+        }
+    }
+
     /**
      * Applies the placement leader's state of servers. Each correction is valid until it expires or the server's
      * registry entry changes. Corrections for another start of the server are ignored.
@@ -226,7 +295,7 @@
         for (const notice of servers) {
             const registration = this.registrations.get(notice.id);
             if (registration !== undefined && registration.entry.bornAt === notice.bornAt) {
-                this.notices.set(notice.id, { notice, expiresAt, revision: registration.revision });
+                this.notices.set(notice.id, { notice, expiresAt, entry: registration.entry });
             }
         }
         this.currentGeneration++;
@@ -249,6 +318,7 @@
     /** Of all services if none is given. */
     private present(service?: string): Registration[] {
         const now = monotonicNow();
+        this.settleDistrusted(now);
         return [...this.registrations.values()].filter(({ entry, leavingSince, graceEndsAt }) =>
             (service === undefined || entry.service === service)
             && (leavingSince === undefined || (graceEndsAt ?? 0) > now)
@@ -256,13 +326,13 @@
     }
 
     /** Returns undefined for a server that a notice reports as lost. */
-    private applyNoticeTo({ entry, revision }: Registration): ServerEntry | undefined {
+    private applyNoticeTo({ entry }: Registration): ServerEntry | undefined {
         const applied = this.notices.get(entry.id);
         if (applied === undefined) {
             return entry;
         }
         const { notice, expiresAt } = applied;
-        if (expiresAt < monotonicNow() || applied.revision !== revision || notice.bornAt !== entry.bornAt) {
+        if (expiresAt < monotonicNow() || applied.entry !== entry || notice.bornAt !== entry.bornAt) {
             this.notices.delete(entry.id);
             return entry;
         }
@@ -282,6 +352,7 @@
             if (removed && (leavingSince ?? 0) < limit) {
                 this.registrations.delete(id);
                 this.notices.delete(id);
+                this.distrusted.delete(id);
             }
         }
     }
@@ -301,6 +372,18 @@
     return `${bornAt ?? ""}/${id}`;
 }
 
+/** Whether the server made the entry after the other one, by its start and its heartbeats. */
+function isNewerStatement(entry: ServerEntry, than: ServerEntry): boolean {
+    if (entry.bornAt !== than.bornAt) {
+        return entry.bornAt !== undefined && (than.bornAt === undefined || entry.bornAt > than.bornAt);
+    }
+    return entry.heartbeats !== undefined && than.heartbeats !== undefined && entry.heartbeats > than.heartbeats;
+}
+
+function haveSameContent(left: ServerEntry, right: ServerEntry): boolean {
+    return isDeepStrictEqual({ ...left, heartbeats: undefined }, { ...right, heartbeats: undefined });
+}
+
 function covers(held: LayerRange | undefined, layers: LayerRange): boolean {
     return held !== undefined && held.first <= layers.first && layers.last <= held.last;
 }
--- a/src/process/gateway/store-dispatcher.ts
+++ b/src/process/gateway/store-dispatcher.ts
@@ -9,22 +9,30 @@
 import type { ItemChange, StoredItem } from "../../domain/gateway/metadata-store.js";
 import { parseSocketAddress, type ServerEntry, type SocketAddress } from "../../domain/gateway/server-entry.js";
 import type { StoreLayout } from "../../domain/gateway/store-layout.js";
+import type { StorePosition } from "../../domain/gateway/store-position.js";
 import { MalformedConfigurationError } from "../../errors/index.js";
-import type { ActiveConfiguration } from "./active-configuration.js";
+import { decodeProcessRecord, type ProcessRecord, type ProcessRecords } from "./process-records.js";
 import type { PromptQuarantine } from "./prompt-quarantine/prompt-quarantine.js";
-import { isSettledRecord, type ProcessRecords, type RouterDirectory } from "./router-directory.js";
-import type { ServerRegistry } from "./server-registry.js";
-import type { StoreObserver } from "./store-watcher.js";
+import type { RouterDirectory } from "./router-directory.js";
+import type { RegistryItem, ServerRegistry } from "./server-registry.js";
+import type { StartupCheck } from "./startup-check.js";
+import { type ReadContext, type StoreObserver } from "./store-observer.js";
+
+/** The placement leader's key as the store holds it. */
+export interface LeaderKey {
+    readonly holder: string;
+    readonly position: StorePosition;
+}
 
 export interface LeaderKeyObserver {
-    /** Receives the value of the placement leader's key; undefined if the key does not exist. */
-    leaderKeyChanged(value: Buffer | undefined): void;
+    /** Receives undefined if the key does not exist. */
+    leaderKeyChanged(key: LeaderKey | undefined): void;
 }
 
 export class StoreDispatcher implements StoreObserver {
     constructor(
         private readonly layout: StoreLayout,
-        private readonly configuration: ActiveConfiguration,
+        private readonly startup: StartupCheck,
         private readonly registry: ServerRegistry,
         private readonly routers: RouterDirectory,
         private readonly leaderObserver: LeaderKeyObserver,
@@ -32,8 +40,8 @@
         private readonly logger: Logger,
     ) {}
 
-    replaceAll(items: readonly StoredItem[], storeRevision: number, afterOutage: boolean): void {
-        const entries = new Map<string, { entry: ServerEntry; revision: number; }>();
+    replaceAll(items: readonly StoredItem[], position: StorePosition, context: ReadContext): void {
+        const entries = new Map<string, RegistryItem>();
         const routers = new Map<string, SocketAddress>();
         for (const item of items) {
             const router = this.routerName(item.key);
@@ -44,24 +52,33 @@
             const id = this.serverId(item.key);
             const entry = id === undefined ? undefined : this.decodeServer(id, item.value);
             if (entry !== undefined) {
-                entries.set(entry.id, { entry, revision: item.revision });
+                entries.set(entry.id, { entry, position: item.position });
             }
         }
         const configuration = items.find(({ key }) => key === this.layout.configurationKey);
         if (configuration !== undefined) {
-            this.applyConfiguration(configuration.value, configuration.revision);
-        }
-        this.registry.replaceAll({ entries, revision: storeRevision, afterOutage });
-        this.routers.replaceAll(routers, this.findProcessRecords(items));
-        this.leaderObserver.leaderKeyChanged(items.find(({ key }) => key === this.layout.placementLeaderKey)?.value);
-        this.quarantine.replaceAll(items);
+            this.applyConfiguration(configuration.value, configuration.position);
+        }
+        const records = this.findProcessRecords(items);
+        this.startup.begin(routers, records.byRouter);
+        this.registry.replaceAll({ entries, position, context });
+        this.routers.replaceAll(routers, records, context);
+        this.leaderObserver.leaderKeyChanged(
+            toLeaderKey(items.find(({ key }) => key === this.layout.placementLeaderKey)),
+        );
+        this.quarantine.replaceAll(items, context);
     }
 
     private findProcessRecords(items: readonly StoredItem[]): ProcessRecords {
         const { processKeyPrefix, fleetStartedKey } = this.layout;
-        const settled = items.filter(({ key, value }) => key.startsWith(processKeyPrefix) && isSettledRecord(value))
-            .map(({ key }) => key.slice(processKeyPrefix.length));
-        return { fleetHasStarted: items.some(({ key }) => key === fleetStartedKey), settled: new Set(settled) };
+        const byRouter = new Map<string, ProcessRecord>();
+        for (const { key, value } of items.filter(item => item.key.startsWith(processKeyPrefix))) {
+            const record = decodeProcessRecord(value);
+            if (record !== undefined) {
+                byRouter.set(key.slice(processKeyPrefix.length), record);
+            }
+        }
+        return { fleetHasStarted: items.some(({ key }) => key === fleetStartedKey), byRouter };
     }
 
     applyChanges(changes: readonly ItemChange[]): void {
@@ -69,29 +86,29 @@
     }
 
     private applyChange(change: ItemChange): void {
-        const { key, value, revision } = change;
+        const { key, value, position } = change;
         const id = this.serverId(key);
         if (id !== undefined) {
-            this.applyServer(id, value, revision);
+            this.applyServer(id, value, position);
         }
         else if (key === this.layout.configurationKey && value !== undefined) {
-            this.applyConfiguration(value, revision);
+            this.applyConfiguration(value, position);
         }
         else if (key === this.layout.placementLeaderKey) {
-            this.leaderObserver.leaderKeyChanged(value);
+            this.leaderObserver.leaderKeyChanged(toLeaderKey(change));
         }
         else if (!this.quarantine.applyChange(change)) {
             this.applyRouter(this.routerName(key), value);
         }
     }
 
-    private applyServer(id: string, value: Buffer | undefined, revision: number): void {
+    private applyServer(id: string, value: Buffer | undefined, position: StorePosition): void {
         const entry = value === undefined ? undefined : this.decodeServer(id, value);
         if (entry === undefined) {
-            this.registry.remove(id, revision);
+            this.registry.remove(id, position);
         }
         else {
-            this.registry.put(entry, revision);
+            this.registry.put(entry, position);
         }
     }
 
@@ -106,15 +123,15 @@
         return entry;
     }
 
-    private applyConfiguration(value: Buffer, revision: number): void {
+    private applyConfiguration(value: Buffer, position: StorePosition): void {
         const key = this.layout.configurationKey;
-        const configuration = this.decode(key, () => this.decodeConfiguration(value, revision));
+        const configuration = this.decode(key, () => this.decodeConfiguration(value, position));
         if (configuration !== undefined) {
-            this.configuration.applyIfNewer(configuration, "store");
+            this.startup.offer(configuration, "store", value);
         }
     }
 
-    private decodeConfiguration(value: Buffer, revision: number): GatewayConfiguration | undefined {
+    private decodeConfiguration(value: Buffer, { revision }: StorePosition): GatewayConfiguration | undefined {
         try {
             return this.layout.decodeConfiguration(value);
         }
@@ -164,3 +181,7 @@
         return key.startsWith(serverKeyPrefix) ? key.slice(serverKeyPrefix.length) : undefined;
     }
 }
+
+function toLeaderKey(item: ItemChange | undefined): LeaderKey | undefined {
+    return item?.value === undefined ? undefined : { holder: item.value.toString("utf8"), position: item.position };
+}
--- a/src/process/gateway/store-watcher.ts
+++ b/src/process/gateway/store-watcher.ts
@@ -9,18 +9,11 @@
 import type { ManagedComponent } from "../../common/life-cycle.js";
 import type { Logger } from "../../common/logger.js";
 import type { RandomSource } from "../../common/random.js";
-import type { ItemChange, MetadataStore, StoredItem } from "../../domain/gateway/metadata-store.js";
+import type { ItemPage, MetadataStore, StoredItem } from "../../domain/gateway/metadata-store.js";
+import type { StorePosition } from "../../domain/gateway/store-position.js";
 import { HistoryLostError, StaleConnectionError } from "../../errors/index.js";
-
-/** Receives the contents of the store and their changes. */
-export interface StoreObserver {
-    /**
-     * Receives all items under the prefix as of the revision. Keys that are missing do not exist; if the read follows
-     * an outage, their leases may have expired in it.
-     */
-    replaceAll(items: readonly StoredItem[], storeRevision: number, afterOutage: boolean): void;
-    applyChanges(changes: readonly ItemChange[], storeRevision: number): void;
-}
+import type { StoreEra } from "./store-era.js";
+import type { StoreReader } from "./store-observer.js";
 
 /**
  * The store answers a long poll after this time even without changes. Together with the store client's timeout margin, this
@@ -34,7 +27,7 @@
 export class StoreWatcher implements ManagedComponent {
     readonly name = "store watcher";
     private readonly stopping = new AbortController();
-    private revision: number | undefined;
+    private position: StorePosition | undefined;
     private consecutiveFailures = 0;
     private failedSince: number | undefined;
     private running: Promise<void> | undefined;
@@ -42,7 +35,8 @@
     constructor(
         private readonly store: MetadataStore,
         private readonly prefix: string,
-        private readonly observer: StoreObserver,
+        private readonly era: Pick<StoreEra, "current">,
+        private readonly observer: StoreReader,
         private readonly random: RandomSource,
         /** Milliseconds within which changes are collected, so that one call fetches all of them. */
         private readonly batchingDelay: () => number,
@@ -73,9 +67,7 @@
             }
             catch (error) {
                 if (error instanceof StaleConnectionError) {
-                    this.logger.info("connection to the store went silent; reading changes on a new one", {
-                        revision: this.revision,
-                    });
+                    this.logStaleConnection();
                 }
                 else if (!this.stopping.signal.aborted) {
                     await this.handleFailure(error);
@@ -84,17 +76,30 @@
         }
     }
 
+    private logStaleConnection(): void {
+        if (this.position?.era === this.era.current) {
+            this.logger.info("connection to the store went silent; reading changes on a new one", {
+                revision: this.position.revision,
+            });
+        }
+    }
+
     /** Reads everything or the next changes; returns whether the contents may have changed. */
     private async readNext(): Promise<boolean> {
-        if (this.revision === undefined) {
+        if (this.position === undefined || this.position.era !== this.era.current) {
+            await this.readAll();
+            return true;
+        }
+        const batch = await this.store.readChanges(this.prefix, this.position, longPollMilliseconds);
+        if (batch.position.era !== this.position.era) {
+            // A revision that exists again names another change.
             await this.readAll();
             return true;
         }
-        const batch = await this.store.readChanges(this.prefix, this.revision, longPollMilliseconds);
         if (batch.changes.length > 0) {
-            this.observer.applyChanges(batch.changes, batch.storeRevision);
+            this.observer.applyChanges(batch.changes, batch.position);
         }
-        this.revision = Math.max(this.revision, batch.storeRevision);
+        this.position = batch.position.revision > this.position.revision ? batch.position : this.position;
         return batch.changes.length > 0;
     }
 
@@ -102,20 +107,29 @@
     private async readAll(): Promise<void> {
         const items: StoredItem[] = [];
         let page = await this.store.readPage(this.prefix);
-        const { storeRevision } = page;
+        const { position } = page;
         items.push(...page.items);
         while (page.hasMore) {
-            page = await this.store.readPage(this.prefix, items.at(-1)?.key);
+            page = await this.readPageOf(position, items.at(-1)?.key);
             items.push(...page.items);
         }
-        this.observer.replaceAll(items, storeRevision, this.failedSince !== undefined);
-        this.revision = storeRevision;
+        this.observer.replaceAll(items, position, this.failedSince !== undefined);
+        this.position = position;
+    }
+
+    /** Throws HistoryLostError if the store has come back from a copy since the first page. */
+    private async readPageOf(first: StorePosition, afterKey: string | undefined): Promise<ItemPage> {
+        const page = await this.store.readPage(this.prefix, afterKey);
+        if (page.position.era !== first.era) {
+            throw new HistoryLostError(first.revision);
+        }
+        return page;
     }
 
     private handleSuccess(): void {
         if (this.failedSince !== undefined) {
             const milliseconds = Math.round(monotonicNow() - this.failedSince);
-            this.logger.info("store available again", { milliseconds, revision: this.revision });
+            this.logger.info("store available again", { milliseconds, revision: this.position?.revision });
         }
         this.consecutiveFailures = 0;
         this.failedSince = undefined;
@@ -125,17 +139,17 @@
         if (error instanceof HistoryLostError) {
             this.logger.warn(
                 "store no longer holds the changes after the last known revision; reading all keys again",
-                { revision: this.revision },
+                { revision: this.position?.revision },
             );
         }
         else if (this.failedSince === undefined) {
             this.failedSince = monotonicNow();
             this.logger.warn("store unavailable; retrying until it answers", {
                 error: String(error),
-                revision: this.revision,
+                revision: this.position?.revision,
             });
         }
-        this.revision = undefined;
+        this.position = undefined;
         const backoff = Math.min(
             maximumRetryDelayMilliseconds,
             initialRetryDelayMilliseconds * 2 ** this.consecutiveFailures++,
--- a/src/stand-ins/engine-fleet/engine-fleet-simulation.ts
+++ b/src/stand-ins/engine-fleet/engine-fleet-simulation.ts
@@ -8,7 +8,9 @@
 import type { EngineProfile } from "../../domain/gateway/configuration.js";
 import type { RunningLoad } from "../../domain/gateway/placement-notice.js";
 import type { ServerEntry } from "../../domain/gateway/server-entry.js";
+import { initialPosition } from "../../domain/gateway/store-position.js";
 import { ServerRegistry } from "../../process/gateway/server-registry.js";
+import { ReadContext } from "../../process/gateway/store-observer.js";
 import type { LayerPath, RequestSize } from "../../request/gateway/layer-path-finder.js";
 import { fleetService } from "./sample-fleets.js";
 import { SimulatedEngine } from "./simulated-engine.js";
@@ -76,9 +78,9 @@
         this.engines = new Map(engines.map(entry => [entry.id, new SimulatedEngine(entry, profile)]));
         this.registry = new ServerRegistry(0, logger);
         this.registry.replaceAll({
-            entries: new Map(engines.map(entry => [entry.id, { entry, revision: 1 }])),
-            revision: 1,
-            afterOutage: false,
+            entries: new Map(engines.map(entry => [entry.id, { entry, position: initialPosition }])),
+            position: initialPosition,
+            context: ReadContext.continuous,
         });
         const zones = [...new Set(engines.map(({ availabilityZone }) => availabilityZone))];
         this.zones = zones;
@@ -124,7 +126,7 @@
         this.revision++;
         for (const id of ids) {
             this.engines.get(id)!.lost = true;
-            this.registry.remove(id, this.revision);
+            this.registry.remove(id, { era: initialPosition.era, revision: this.revision });
         }
         const lost = new Set(ids);
         [...this.running]
--- a/test/connection/gateway/odd-messages.test.ts
+++ b/test/connection/gateway/odd-messages.test.ts
@@ -33,7 +33,8 @@
 test("sound messages of other routers are decoded", () => {
     expect(decodeNotice(JSON.stringify(soundNotice)).servers).toEqual(soundNotice.servers);
     expect(decodeReport(JSON.stringify(soundReport)).loads.get("a")).toEqual({ requests: 2, tokens: 1_800 });
-    expect(decodeOffer(JSON.stringify(soundOffer))).toEqual(soundOffer);
+    const { leaseId: id, ...offer } = soundOffer;
+    expect(decodeOffer(JSON.stringify(soundOffer))).toEqual({ ...offer, lease: { id, era: 0 } });
     expect(decodeSnapshot(JSON.stringify(soundSnapshot)).items[0]!.value.toString()).toBe("{}");
 });
 
@@ -172,11 +173,14 @@
     expectDecoded(
         soundOffer,
         decodeOffer,
-        ({ leaseId, renewedMillisecondsAgo: age }) => isWhole(leaseId) && age >= 0 && age <= 1e12,
+        ({ lease, renewedMillisecondsAgo: age }) => isWhole(lease.id) && isWhole(lease.era) && age >= 0 && age <= 1e12,
     );
     expectDecoded(
         soundSnapshot,
         decodeSnapshot,
-        ({ storeRevision, items }) => isWhole(storeRevision) && items.every(({ revision }) => isWhole(revision)),
+        ({ position, items }) =>
+            [position, ...items.map(item => item.position)].every(({ era, revision }) =>
+                isWhole(era) && isWhole(revision)
+            ),
     );
 });
--- a/test/connection/gateway/peer-client.test.ts
+++ b/test/connection/gateway/peer-client.test.ts
@@ -8,6 +8,7 @@
 import type { SocketAddress } from "../../../src/domain/gateway/server-entry.js";
 import { failures } from "../../support/failures.js";
 import { closes, ConnectionEnd, cutResponses, resets, sendRaw } from "../../support/raw-responses.js";
+import { at } from "../../support/store-positions.js";
 
 const ends = [...closes, ...resets];
 const unframedHead = "HTTP/1.1 200 OK\r\n\r\n";
@@ -36,12 +37,12 @@
 describe.each(ends)("on a connection that is %s", end => {
     test("a snapshot of the store that is cut anywhere is not taken", async () => {
         const snapshot = encodeSnapshot({
-            storeRevision: 1_234,
-            items: [{ key: "/a", value: Buffer.from("value"), revision: 12 }],
+            position: at(1_234),
+            items: [{ key: "/a", value: Buffer.from("value"), position: at(12) }],
         });
         for (const bytes of cutMessages(snapshot.toString())) {
             respond = socket => sendRaw(socket, bytes, end);
-            await expect(new HttpSnapshotSource(client).readSnapshot(router, 0)).rejects.toMatchObject({
+            await expect(new HttpSnapshotSource(client).readSnapshot(router, at(0))).rejects.toMatchObject({
                 code: expect.stringMatching(/^(peer-unreachable|invalid-peer-message)$/) as unknown as string,
             });
         }
@@ -83,7 +84,9 @@
         const acceptance = "HTTP/1.1 204 No Content\r\nX-Name: value\r\n\r\n";
         for (let length = 1; length < acceptance.length; length++) {
             respond = socket => sendRaw(socket, acceptance.slice(0, length), end);
-            expect(await handover.offer({ leaseId: 1, holder: "a", renewedMillisecondsAgo: 0 })).toBe(false);
+            expect(await handover.offer({ lease: { id: 1, era: 0 }, holder: "a", renewedMillisecondsAgo: 0 })).toBe(
+                false,
+            );
         }
     });
 });
--- a/test/platform/gateway-fixture.ts
+++ b/test/platform/gateway-fixture.ts
@@ -24,6 +24,7 @@
 import type { SocketAddress } from "../../src/domain/gateway/server-entry.js";
 import type { GatewaySettings } from "../../src/process/gateway/settings.js";
 import { boundary, failures } from "../support/failures.js";
+import { createStoreEra } from "../support/store-positions.js";
 import type { StandInBackendServer } from "./stand-ins/backend-server.js";
 import { StandInStore } from "./stand-ins/store.js";
 
@@ -116,7 +117,7 @@
         version?: number,
         bounds: Partial<GatewaySettings["bounds"]> = {},
     ): Promise<GatewayFixture> {
-        const fixture = new GatewayFixture();
+        const fixture = new GatewayFixture(bounds);
         const address = await fixture.store.start();
         fixture.recordFormerProcess("edge-1");
         for (const server of servers) {
@@ -147,11 +148,14 @@
         this.gateways.unshift(await startGateway("edge-2", store, [this.gateways[0]!.peerAddress]));
     }
 
+    /** The bounds hold for all gateways. */
+    private constructor(private readonly bounds: Partial<GatewaySettings["bounds"]>) {}
+
     /** Starts another gateway on the same store; returns its number, which `sendTo` takes. */
     async addGateway(): Promise<number> {
         const number = this.gateways.length;
         this.recordFormerProcess(`edge-${number + 1}`);
-        this.gateways.push(await startGateway(`edge-${number + 1}`, this.store.address, []));
+        this.gateways.push(await startGateway(`edge-${number + 1}`, this.store.address, [], this.bounds));
         return number;
     }
 
@@ -309,6 +313,7 @@
 ): Promise<RunningGateway> {
     const [callers, readiness, peers, metrics] = await freePorts(4);
     const local = (port: number | undefined) => ({ host: "127.0.0.1", port: port! });
+    const storeEra = createStoreEra();
     const gateway = new Gateway({
         router: { name, availabilityZone: "north", region: "land" },
         listen: {
@@ -331,7 +336,8 @@
             ...bounds,
         },
     }, {
-        store: new StoreClient(store, failures),
+        store: new StoreClient(store, failures, storeEra),
+        storeEra,
         layout: {
             rootPrefix,
             configurationKey,
--- a/test/platform/odd-configurations.test.ts
+++ b/test/platform/odd-configurations.test.ts
@@ -13,6 +13,7 @@
 import { LayerPathChooser } from "../../src/request/gateway/layer-path-chooser.js";
 import { CheapestLayerPathFinder } from "../../src/request/gateway/layer-path-finder.js";
 import { serverEntry } from "../process/gateway/fixtures.js";
+import { at } from "../support/store-positions.js";
 import { configuration } from "./gateway-fixture.js";
 import { oddJson, withOddValues } from "./odd-json.js";
 
@@ -103,7 +104,7 @@
 function expectUsable(engine: EngineProfile): void {
     const registry = new ServerRegistry(1_000, new SilentLogger());
     const kind = [...engine.kinds.keys()][0];
-    registry.put(serverEntry("a", { kind, layers: { first: 0, last: engine.layerCount - 1 } }), 1);
+    registry.put(serverEntry("a", { kind, layers: { first: 0, last: engine.layerCount - 1 } }), at(1));
     const chooser = new LayerPathChooser(
         registry,
         new ExtrapolatedLoad(new LocalServerLoad(), () => 1),
--- a/test/platform/odd-server-entries.test.ts
+++ b/test/platform/odd-server-entries.test.ts
@@ -15,6 +15,7 @@
 import { PreferredServerChooser, TwoChoicesPolicy } from "../../src/request/gateway/plain-server-chooser.js";
 import { SpreadRetryAdvice } from "../../src/request/gateway/retry-advice.js";
 import { engineProfile } from "../process/gateway/fixtures.js";
+import { at } from "../support/store-positions.js";
 import { oddJson, oddNumber, withOddValues } from "./odd-json.js";
 
 const soundEntry = {
@@ -48,7 +49,9 @@
             draining: false,
             kind: "large",
             layers: { first: 0, last: 9 },
+            heartbeats: 4,
         });
+        expect(decode(changed({ seq: "many" }))).toMatchObject({ heartbeats: undefined });
         expect(decode(changed({ kind: undefined, layers: undefined, born: undefined }))).toBeDefined();
         expect(decode(changed({ layers: { from: 3, target: 3 } }))).toMatchObject({ layers: undefined });
         expect(decode(changed({ layers: null }))).toMatchObject({ layers: undefined });
@@ -162,13 +165,13 @@
     soundRanges.forEach(([from, target], index) => {
         registry.put(
             decode(changed({ address: `10.0.1.${index}:80`, layers: { from, target } }), `sound-${index}`)!,
-            index,
+            at(index),
         );
     });
     texts.forEach((text, index) => {
         const entry = decode(text, `odd-${index}`);
         if (entry !== undefined) {
-            registry.put(entry, 100 + index);
+            registry.put(entry, at(100 + index));
         }
     });
     return registry;
--- a/test/platform/silent-store-connections.test.ts
+++ b/test/platform/silent-store-connections.test.ts
@@ -9,6 +9,7 @@
 import { StoreWatcher } from "../../src/process/gateway/store-watcher.js";
 import { failures } from "../support/failures.js";
 import { SilencingProxy } from "../support/silencing-proxy.js";
+import { createStoreEra } from "../support/store-positions.js";
 import { StandInStore } from "./stand-ins/store.js";
 
 /** The time after which the requirements take a router with reset connections as connected again. */
@@ -29,10 +30,12 @@
     fullReads = [];
     store = new StandInStore();
     proxy = new SilencingProxy(await store.start());
-    client = new StoreClient(await proxy.start(), failures);
+    const era = createStoreEra();
+    client = new StoreClient(await proxy.start(), failures, era);
     watcher = new StoreWatcher(
         client,
         "",
+        era,
         {
             replaceAll: (_items, _revision, afterOutage) => fullReads.push(afterOutage),
             applyChanges: changes => seen.push(...changes.map(({ key }) => key)),
--- a/test/platform/stand-ins/store.ts
+++ b/test/platform/stand-ins/store.ts
@@ -1,4 +1,7 @@
-/** A stand-in for the platform's key-value service: revisions, leases, long polls and faults that tests enable. */
+/**
+ * A stand-in for the platform's key-value service: revisions, leases, long polls and faults that tests enable. It can come back
+ * from an older copy of itself, after which revisions and IDs of leases are given out again.
+ */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 
@@ -15,6 +18,18 @@
     readonly item: Item | undefined;
 }
 
+interface GrantedLease {
+    readonly milliseconds: number;
+    readonly timer: NodeJS.Timeout;
+}
+
+interface StoreCopy {
+    readonly items: ReadonlyMap<string, Item>;
+    readonly revision: number;
+    readonly nextLease: number;
+    readonly leases: ReadonlyMap<number, number>;
+}
+
 interface Transaction {
     readonly expected: readonly { readonly key: string; readonly revision: number; }[];
     readonly writes: readonly { readonly key: string; readonly value: string; readonly lease?: number; }[];
@@ -28,13 +43,18 @@
     answerMilliseconds = 0;
     /** Commits transactions but closes the connection instead of responding. */
     dropCommitResponses = false;
+    /** Stated in all answers; undefined for a store without eras. */
+    era: number | string | undefined;
     readonly calls: string[] = [];
+    /** Milliseconds on the monotonic clock at which each of the calls arrived. */
+    readonly callTimes: number[] = [];
+    private copy: StoreCopy | undefined;
     private readonly items = new Map<string, Item>();
     private changes: Change[] = [];
     private compactedRevision = 0;
     private revision = 1;
     private nextLease = 100;
-    private readonly leases = new Map<number, NodeJS.Timeout>();
+    private readonly leases = new Map<number, GrantedLease>();
     private readonly waitingPolls = new Set<() => void>();
     private readonly server: Server = createServer((request, response) => void this.handle(request, response));
 
@@ -48,7 +68,7 @@
     }
 
     async stop(): Promise<void> {
-        this.leases.forEach(timer => clearTimeout(timer));
+        this.leases.forEach(({ timer }) => clearTimeout(timer));
         this.server.closeAllConnections();
         await new Promise(resolve => this.server.close(resolve));
     }
@@ -75,6 +95,31 @@
         this.server.closeAllConnections();
     }
 
+    /** Keeps a copy of everything, to which `restoreCopy` returns. */
+    takeCopy(): void {
+        this.copy = {
+            items: new Map(this.items),
+            revision: this.revision,
+            nextLease: this.nextLease,
+            leases: new Map([...this.leases].map(([id, { milliseconds }]) => [id, milliseconds])),
+        };
+    }
+
+    /** Returns to the copy with the next era; leases of the copy run anew. Closes all connections. */
+    restoreCopy(): void {
+        const { items, revision, nextLease, leases } = this.copy!;
+        this.items.clear();
+        items.forEach((item, key) => this.items.set(key, item));
+        this.revision = revision;
+        this.nextLease = nextLease;
+        this.changes = this.changes.filter(change => change.revision <= revision);
+        this.leases.forEach(({ timer }) => clearTimeout(timer));
+        this.leases.clear();
+        leases.forEach((milliseconds, id) => this.startLease(id, milliseconds));
+        this.era = Number(this.era) + 1;
+        this.server.closeAllConnections();
+    }
+
     private write(key: string, value: string, lease: number): void {
         const item = { key, value, lease, revision: ++this.revision };
         this.items.set(key, item);
@@ -89,8 +134,12 @@
     private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
         const url = new URL(request.url!, "http://store");
         this.calls.push(`${request.method} ${url.pathname}`);
+        this.callTimes.push(performance.now());
         const body = await readBody(request);
         await new Promise(resolve => setTimeout(resolve, this.answerMilliseconds).unref());
+        if (this.era !== undefined) {
+            response.setHeader("Store-Era", String(this.era));
+        }
         if (this.down) {
             sendResponse(response, 503, undefined);
             return;
@@ -110,7 +159,7 @@
                 this.grant((JSON.parse(body) as { ttl_ms: number; }).ttl_ms, response);
                 break;
             case "kv-keep":
-                sendResponse(response, this.leases.has(Number(id)) ? 200 : 404, {});
+                this.keep(Number(id), response);
                 break;
             case "kv-lease-end":
                 this.endLease(Number(id));
@@ -137,7 +186,7 @@
     private async watch(query: URLSearchParams, response: ServerResponse): Promise<void> {
         const prefix = query.get("path_prefix")!;
         const after = Number(query.get("after_revision"));
-        if (after < this.compactedRevision) {
+        if (after < this.compactedRevision || after > this.revision) {
             sendResponse(response, 410, undefined);
             return;
         }
@@ -162,6 +211,10 @@
         const failed = transaction.expected.some(({ key, revision }) =>
             (this.items.get(key)?.revision ?? 0) !== revision
         );
+        if (transaction.writes.some(({ lease }) => lease !== undefined && lease !== 0 && !this.leases.has(lease))) {
+            sendResponse(response, 404, {});
+            return;
+        }
         if (failed) {
             sendResponse(response, 412, { items: [] });
             return;
@@ -176,12 +229,25 @@
 
     private grant(timeToLiveMilliseconds: number, response: ServerResponse): void {
         const lease = this.nextLease++;
-        this.leases.set(lease, setTimeout(() => this.endLease(lease), timeToLiveMilliseconds));
+        this.startLease(lease, timeToLiveMilliseconds);
         sendResponse(response, 200, { lease, ttl_ms: timeToLiveMilliseconds });
     }
 
+    private keep(lease: number, response: ServerResponse): void {
+        const milliseconds = this.leases.get(lease)?.milliseconds;
+        if (milliseconds !== undefined) {
+            this.startLease(lease, milliseconds);
+        }
+        sendResponse(response, milliseconds === undefined ? 404 : 200, {});
+    }
+
+    private startLease(lease: number, milliseconds: number): void {
+        clearTimeout(this.leases.get(lease)?.timer);
+        this.leases.set(lease, { milliseconds, timer: setTimeout(() => this.endLease(lease), milliseconds) });
+    }
+
     private endLease(lease: number): void {
-        clearTimeout(this.leases.get(lease));
+        clearTimeout(this.leases.get(lease)?.timer);
         this.leases.delete(lease);
         [...this.items.values()].filter(item => item.lease === lease).forEach(({ key }) => this.delete(key));
     }
--- a/test/platform/store-client.test.ts
+++ b/test/platform/store-client.test.ts
@@ -4,10 +4,15 @@
 import { StoreClient } from "../../platform/store-client.js";
 import { failures } from "../support/failures.js";
 import { closes, ConnectionEnd, cutResponses, resets, sendRaw } from "../support/raw-responses.js";
+import { at, createStoreEra } from "../support/store-positions.js";
 
 async function startServer(server: Server): Promise<StoreClient> {
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    return new StoreClient({ host: "127.0.0.1", port: (server.address() as AddressInfo).port }, failures);
+    return new StoreClient(
+        { host: "127.0.0.1", port: (server.address() as AddressInfo).port },
+        failures,
+        createStoreEra(),
+    );
 }
 
 test("a response of the store that never ends is closed and counts as unavailable", async () => {
@@ -43,7 +48,7 @@
 /** Each call, a complete body of its response, and whether it is a write. */
 const calls: [string, string, boolean, (client: StoreClient) => Promise<unknown>][] = [
     ["a page", page, false, client => client.readPage("/a/")],
-    ["changes", changes, false, client => client.readChanges("/a/", 1, 100)],
+    ["changes", changes, false, client => client.readChanges("/a/", at(1), 100)],
     ["a commit", commitBody, true, client => client.commit({ conditions: [], writes: [] })],
     ["a lease", '{"lease":3,"ttl_ms":500}', true, client => client.grantLease(500)],
 ];
--- a/test/process/gateway/placement-leadership.test.ts
+++ b/test/process/gateway/placement-leadership.test.ts
@@ -4,9 +4,12 @@
 import { SeededRandom } from "../../../src/common/random.js";
 import type { LeadershipOffer } from "../../../src/domain/gateway/leadership-offer.js";
 import type { ConditionalWrite, MetadataStore } from "../../../src/domain/gateway/metadata-store.js";
+import type { StoreLease } from "../../../src/domain/gateway/store-position.js";
 import { LeaseLostError, PlatformUnavailableError } from "../../../src/errors/index.js";
 import { PlacementLeadership } from "../../../src/process/gateway/layer-placement/placement-leadership.js";
+import type { StoreEra } from "../../../src/process/gateway/store-era.js";
 import { failures } from "../../support/failures.js";
+import { at, createStoreEra } from "../../support/store-positions.js";
 
 /** A store with a single key that is bound to a lease, and with injected faults. */
 class LeaseStore implements Partial<MetadataStore> {
@@ -19,11 +22,11 @@
     grantCalls = 0;
     private nextLease = 1;
 
-    async grantLease(): Promise<number> {
+    async grantLease(): Promise<StoreLease> {
         this.check();
         this.grantCalls++;
         await delay(this.grantMilliseconds);
-        return this.nextLease++;
+        return { id: this.nextLease++, era: era.current };
     }
 
     async commit(write: ConditionalWrite): Promise<boolean> {
@@ -38,15 +41,15 @@
         return true;
     }
 
-    async renewLease(lease: number): Promise<void> {
+    async renewLease({ id }: StoreLease): Promise<void> {
         this.check();
-        if (this.lostLeases.has(lease)) {
-            throw new LeaseLostError(String(lease));
+        if (this.lostLeases.has(id)) {
+            throw new LeaseLostError(String(id));
         }
     }
 
-    async revokeLease(lease: number): Promise<void> {
-        this.revokedLeases.push(lease);
+    async revokeLease({ id }: StoreLease): Promise<void> {
+        this.revokedLeases.push(id);
         this.holder = undefined;
     }
 
@@ -57,6 +60,7 @@
     }
 }
 
+let era: StoreEra;
 let store: LeaseStore;
 let leadership: PlacementLeadership;
 let offers: LeadershipOffer[];
@@ -65,12 +69,14 @@
 beforeEach(() => {
     offers = [];
     acceptsOffers = true;
+    era = createStoreEra();
     store = new LeaseStore();
     leadership = new PlacementLeadership(
         store as unknown as MetadataStore,
         "leader",
         "me",
         1_000,
+        era,
         {
             offer: async offer => {
                 offers.push(offer);
@@ -106,7 +112,7 @@
     test("steps down when another router's key is seen", async () => {
         leadership.leaderKeyChanged(undefined);
         await jest.advanceTimersByTimeAsync(600);
-        leadership.leaderKeyChanged(Buffer.from("other"));
+        leadership.leaderKeyChanged({ holder: "other", position: at(1) });
         expect(leadership.isLeader).toBe(false);
     });
 
@@ -125,7 +131,7 @@
         leadership.leaderKeyChanged(undefined);
         await jest.advanceTimersByTimeAsync(600);
         expect(leadership.isLeader).toBe(false);
-        leadership.leaderKeyChanged(Buffer.from("me"));
+        leadership.leaderKeyChanged({ holder: "me", position: at(1) });
         expect(leadership.isLeader).toBe(true);
     });
 
@@ -145,17 +151,17 @@
         await jest.advanceTimersByTimeAsync(4_000);
         await leadership.stop();
         expect(leadership.isLeader).toBe(false);
-        expect(offers).toMatchObject([{ leaseId: 1, holder: "me" }]);
+        expect(offers).toMatchObject([{ lease: { id: 1, era: 0 }, holder: "me" }]);
         expect(offers[0]!.renewedMillisecondsAgo).toBeGreaterThan(3_000);
         expect(store.holder).toBe("me");
     });
 
     test("adopts a lease under the old leader's name, and leads no longer than the old leader could have", async () => {
         store.down = true;
-        expect(leadership.adopt({ leaseId: 7, holder: "old", renewedMillisecondsAgo: 6_000 })).toBe(true);
+        expect(leadership.adopt({ lease: { id: 7, era: 0 }, holder: "old", renewedMillisecondsAgo: 6_000 })).toBe(true);
         expect(leadership.isLeader).toBe(true);
-        expect(leadership.adopt({ leaseId: 8, holder: "third", renewedMillisecondsAgo: 0 })).toBe(false);
-        leadership.leaderKeyChanged(Buffer.from("old"));
+        expect(leadership.adopt({ lease: { id: 8, era: 0 }, holder: "third", renewedMillisecondsAgo: 0 })).toBe(false);
+        leadership.leaderKeyChanged({ holder: "old", position: at(1) });
         expect(leadership.isLeader).toBe(true);
         await jest.advanceTimersByTimeAsync(9_500);
         expect(leadership.isLeader).toBe(false);
@@ -163,14 +169,14 @@
 
     test("stops leading when the store reports that an adopted lease was lost", async () => {
         store.lostLeases.add(7);
-        leadership.adopt({ leaseId: 7, holder: "old", renewedMillisecondsAgo: 2_000 });
+        leadership.adopt({ lease: { id: 7, era: 0 }, holder: "old", renewedMillisecondsAgo: 2_000 });
         await jest.advanceTimersByTimeAsync(1_100);
         expect(leadership.isLeader).toBe(false);
     });
 
     test("rejects offers after it has stopped", async () => {
         await leadership.stop();
-        expect(leadership.adopt({ leaseId: 7, holder: "old", renewedMillisecondsAgo: 0 })).toBe(false);
+        expect(leadership.adopt({ lease: { id: 7, era: 0 }, holder: "old", renewedMillisecondsAgo: 0 })).toBe(false);
     });
 
     // A claim that was under way as the router stopped left its key behind, and nobody led until its lease had expired.
--- a/test/process/gateway/placement-loop.test.ts
+++ b/test/process/gateway/placement-loop.test.ts
@@ -18,7 +18,9 @@
 import { ServerExclusions } from "../../../src/process/gateway/server-exclusions.js";
 import { ServerRegistry } from "../../../src/process/gateway/server-registry.js";
 import { ServerSlowdowns } from "../../../src/process/gateway/server-slowdowns.js";
+import { ReadContext } from "../../../src/process/gateway/store-observer.js";
 import { failures } from "../../support/failures.js";
+import { at, createStoreEra } from "../../support/store-positions.js";
 import { engineProfile, gatewayConfiguration, serverEntry } from "./fixtures.js";
 
 interface Engine {
@@ -108,13 +110,14 @@
     addEngine("c", undefined);
     const entries = new Map(["a", "b", "c"].map(id => {
         const entry = serverEntry(id, { kind: "large", layers: control.engines.get(id)!.layers });
-        return [id, { entry, revision: 1 }] as const;
+        return [id, { entry, position: at(1) }] as const;
     }));
-    registry.replaceAll({ entries, revision: 1, afterOutage: false });
+    registry.replaceAll({ entries, position: at(1), context: ReadContext.continuous });
     loop = new PlacementLoop({
         registry,
         configuration,
         leadership: { isLeader: true },
+        storeEra: createStoreEra(),
         exclusions,
         planner: new ZoneLayerPlanner(),
         standbyPolicy: new HalfCopyStandby(),
@@ -164,7 +167,7 @@
 
     test("an engine whose entry names layers that the model does not have holds none of the others' layers", async () => {
         addEngine("odd", { first: 0, last: 40 });
-        registry.put(serverEntry("odd", { kind: "large", layers: { first: 0, last: 40 } }), 2);
+        registry.put(serverEntry("odd", { kind: "large", layers: { first: 0, last: 40 } }), at(2));
         control.engines.get("b")!.dead = true;
         exclusions.recordFailure("b", "takes no connection");
         await jest.advanceTimersByTimeAsync(6_000);
@@ -219,7 +222,7 @@
                 const revision = 2 + 20 * batch + count;
                 registry.put(
                     serverEntry("a", { kind: "large", layers: { first: 0, last: 9 }, slots: revision }),
-                    revision,
+                    at(revision),
                 );
             }
             await jest.advanceTimersByTimeAsync(200);
--- a/test/process/gateway/prompt-quarantine/leased-record-writer.test.ts
+++ b/test/process/gateway/prompt-quarantine/leased-record-writer.test.ts
@@ -2,6 +2,7 @@
 import { SilentLogger } from "../../../../src/common/logger.js";
 import { SeededRandom } from "../../../../src/common/random.js";
 import type { ConditionalWrite, MetadataStore } from "../../../../src/domain/gateway/metadata-store.js";
+import type { StoreLease } from "../../../../src/domain/gateway/store-position.js";
 import { PlatformUnavailableError } from "../../../../src/errors/index.js";
 import { LeasedRecordWriter } from "../../../../src/process/gateway/prompt-quarantine/leased-record-writer.js";
 
@@ -17,9 +18,9 @@
     pending = Promise.resolve();
     readonly keys = new Map<string, number>();
 
-    async grantLease(): Promise<number> {
+    async grantLease(): Promise<StoreLease> {
         this.checkAvailable();
-        return ++this.leases;
+        return { id: ++this.leases, era: 0 };
     }
 
     async commit({ conditions, writes }: ConditionalWrite): Promise<boolean> {
@@ -27,11 +28,12 @@
         await this.pending;
         const [write] = writes;
         if (
-            conditions[0]!.revision !== 0 || this.keys.has(conditions[0]!.key) || write!.leaseId! <= this.lastEndedLease
+            conditions[0]!.position !== undefined || this.keys.has(conditions[0]!.key)
+            || write!.lease!.id <= this.lastEndedLease
         ) {
             return false;
         }
-        this.keys.set(write!.key, write!.leaseId!);
+        this.keys.set(write!.key, write!.lease!.id);
         if (this.loseResponses) {
             throw new PlatformUnavailableError("lost", true);
         }
--- a/test/process/gateway/prompt-quarantine/prompt-quarantine.test.ts
+++ b/test/process/gateway/prompt-quarantine/prompt-quarantine.test.ts
@@ -5,7 +5,9 @@
 import { ExplainingAwayAttribution } from "../../../../src/process/gateway/prompt-quarantine/crash-attribution.js";
 import type { LeasedRecord } from "../../../../src/process/gateway/prompt-quarantine/leased-record-writer.js";
 import { PromptQuarantine } from "../../../../src/process/gateway/prompt-quarantine/prompt-quarantine.js";
+import { ReadContext } from "../../../../src/process/gateway/store-observer.js";
 import { failures } from "../../../support/failures.js";
+import { at } from "../../../support/store-positions.js";
 import { serverEntry } from "../fixtures.js";
 
 const blockKey = "blocks/bad";
@@ -42,7 +44,7 @@
         metrics: new SilentMetrics(),
         logger: new WarningLogger(),
     });
-const stored = ({ key, value }: LeasedRecord): StoredItem => ({ key, value, revision: ++revision });
+const stored = ({ key, value }: LeasedRecord): StoredItem => ({ key, value, position: at(++revision) });
 const isBlocked = (quarantine: PromptQuarantine) => quarantine.findBlock(["common", "bad"]) !== undefined;
 let nextServer = 1;
 
@@ -68,7 +70,7 @@
     const witness = createQuarantine();
     crash(witness, 3);
     const other = createQuarantine("router-2");
-    other.replaceAll(evidence.slice(0, 1).map(stored));
+    other.replaceAll(evidence.slice(0, 1).map(stored), ReadContext.continuous);
     jest.advanceTimersByTime(2_000);
     evidence.slice(1).forEach(record => other.applyChange(stored(record)));
     crash(other, 1, ["d0"]);
@@ -148,7 +150,7 @@
     const second = createQuarantine("router-2");
     crash(first, 2, parts);
     crash(second, 1, parts);
-    second.replaceAll(evidence.map(stored));
+    second.replaceAll(evidence.map(stored), ReadContext.continuous);
     jest.advanceTimersByTime(1_000);
     others("a").forEach(part => second.recordSuccess([part]));
     others("c").forEach(part => second.recordSuccess([part]));
@@ -161,10 +163,10 @@
 
 test("a block ends after ten minutes, and the part is tried again", () => {
     const quarantine = createQuarantine();
-    quarantine.applyChange({ key: blockKey, revision: 1, value: Buffer.from("") });
+    quarantine.applyChange({ key: blockKey, position: at(1), value: Buffer.from("") });
     jest.advanceTimersByTime(599_000);
     expect(quarantine.findBlock(["bad"])?.remainingMilliseconds).toBeCloseTo(1_000, 0);
-    quarantine.replaceAll([{ key: blockKey, revision: 1, value: Buffer.from("") }]);
+    quarantine.replaceAll([{ key: blockKey, position: at(1), value: Buffer.from("") }], ReadContext.continuous);
     jest.advanceTimersByTime(1_000);
     expect(isBlocked(quarantine)).toBe(false);
 });
@@ -174,7 +176,7 @@
     Array.from({ length: 40 }).forEach(() => quarantine.recordSuccess(["c0"]));
     crash(quarantine, 3);
     quarantine.applyChange(stored(blocks[0]!));
-    quarantine.applyChange({ key: blockKey, revision: ++revision, value: undefined });
+    quarantine.applyChange({ key: blockKey, position: at(++revision), value: undefined });
     crash(quarantine, 1, ["c0", "d0"]);
     expect(isBlocked(quarantine)).toBe(false);
     crash(quarantine, 1);
@@ -184,11 +186,11 @@
 test("a full read keeps a block whose key is not yet stored, and ends one whose key has left the store", () => {
     const quarantine = createQuarantine();
     crash(quarantine, 3);
-    quarantine.replaceAll([]);
+    quarantine.replaceAll([], ReadContext.continuous);
     expect(isBlocked(quarantine)).toBe(true);
-    quarantine.replaceAll(blocks.map(stored));
+    quarantine.replaceAll(blocks.map(stored), ReadContext.continuous);
     expect(isBlocked(quarantine)).toBe(true);
-    quarantine.replaceAll([]);
+    quarantine.replaceAll([], ReadContext.continuous);
     expect(isBlocked(quarantine)).toBe(false);
 });
 
@@ -198,7 +200,7 @@
     Array.from({ length: 40 }).forEach(() => witness.recordSuccess(["c0"]));
     crash(witness, 1, ["c0"]);
     const quarantine = createQuarantine();
-    quarantine.replaceAll(evidence.map(stored).reverse());
+    quarantine.replaceAll(evidence.map(stored).reverse(), ReadContext.continuous);
     jest.advanceTimersByTime(2_000);
     crash(quarantine, 1, ["c0"]);
     expect(quarantine.findBlock(["c0"])).toBeUndefined();
@@ -215,18 +217,18 @@
     "the malformed evidence %j is ignored and logged",
     value => {
         const quarantine = createQuarantine();
-        expect(quarantine.applyChange({ key: "crashes/1", revision: 1, value: Buffer.from(value) })).toBe(true);
+        expect(quarantine.applyChange({ key: "crashes/1", position: at(1), value: Buffer.from(value) })).toBe(true);
         expect(warnings).toEqual(["crash evidence cannot be decoded; ignored"]);
     },
 );
 
 test.each(["", "x y", "g", "a".repeat(65)])("the key %j names no part, is ignored and logged", name => {
     const quarantine = createQuarantine();
-    expect(quarantine.applyChange({ key: `blocks/${name}`, revision: 1, value: Buffer.from("1") })).toBe(true);
+    expect(quarantine.applyChange({ key: `blocks/${name}`, position: at(1), value: Buffer.from("1") })).toBe(true);
     expect(quarantine.findBlock([name])).toBeUndefined();
     expect(warnings).toEqual(["key of a blocked prompt part cannot be decoded; ignored"]);
 });
 
 test("keys of others are left to others", () => {
-    expect(createQuarantine().applyChange({ key: "routers/edge-1", revision: 1, value: undefined })).toBe(false);
+    expect(createQuarantine().applyChange({ key: "routers/edge-1", position: at(1), value: undefined })).toBe(false);
 });
--- a/test/process/gateway/retry-budget-of-a-fleet.test.ts
+++ b/test/process/gateway/retry-budget-of-a-fleet.test.ts
@@ -9,8 +9,11 @@
 import type { ConditionalWrite, MetadataStore } from "../../../src/domain/gateway/metadata-store.js";
 import type { SocketAddress } from "../../../src/domain/gateway/server-entry.js";
 import { FleetRetryBudget } from "../../../src/process/gateway/fleet-retry-budget.js";
-import { isSettledRecord, RouterDirectory } from "../../../src/process/gateway/router-directory.js";
+import { decodeProcessRecord } from "../../../src/process/gateway/process-records.js";
+import { RouterDirectory } from "../../../src/process/gateway/router-directory.js";
+import { ReadContext } from "../../../src/process/gateway/store-observer.js";
 import { WindowedRetryBudget } from "../../../src/process/gateway/windowed-retry-budget.js";
+import { createStoreEra } from "../../support/store-positions.js";
 
 const service = "pool";
 const ratio = 0.2;
@@ -35,12 +38,12 @@
             if (!this.storeAnswers) {
                 throw new TypeError("the store does not answer");
             }
-            return 1;
+            return { id: 1, era: 0 };
         };
         const commit = async ({ writes }: ConditionalWrite) => {
             await call();
             const record = writes.find(({ key }) => key.startsWith("processes/"));
-            this.isRecordedAsSettled = record !== undefined && isSettledRecord(record.value);
+            this.isRecordedAsSettled = record !== undefined && decodeProcessRecord(record.value)!.settled;
             return true;
         };
         const store = {
@@ -49,14 +52,17 @@
             commit,
             revokeLease: call,
         } as unknown as MetadataStore;
-        this.directory = new RouterDirectory(
+        this.directory = new RouterDirectory({
             store,
-            { routerPrefix: "", processPrefix: "processes/", fleetStarted: "started" },
-            name,
-            addressOf(name),
-            windowMilliseconds,
-            new SilentLogger(),
-        );
+            era: createStoreEra(),
+            keys: { routerPrefix: "", processPrefix: "processes/", fleetStarted: "started" },
+            ownName: name,
+            ownAddress: addressOf(name),
+            settlingMilliseconds: windowMilliseconds,
+            configurationVersion: () => 1,
+            random,
+            logger: new SilentLogger(),
+        });
         const options = { ratio, extra, windowMilliseconds, routerCount: () => this.directory.budgetSharers };
         this.budget = new WindowedRetryBudget({
             ...options,
@@ -188,7 +194,16 @@
         for (const [name, process] of this.processes) {
             process.storeAnswers = this.reachesStore(name);
             if (process.storeAnswers) {
-                process.directory.replaceAll(list(), { fleetHasStarted: this.hasStarted, settled: this.settled });
+                const byRouter = new Map(
+                    [...this.settled].map(settledName =>
+                        [settledName, { settled: true, era: 0, configurationVersion: 1 }] as const
+                    ),
+                );
+                process.directory.replaceAll(
+                    list(),
+                    { fleetHasStarted: this.hasStarted, byRouter },
+                    ReadContext.continuous,
+                );
                 this.registered.set(name, now + 12_000);
             }
         }
--- a/test/process/gateway/router-directory.test.ts
+++ b/test/process/gateway/router-directory.test.ts
@@ -1,40 +1,59 @@
 /** Who shares the fixed part of the retry budget. */
 import { afterEach, beforeEach, expect, jest, test } from "@jest/globals";
 import { SilentLogger } from "../../../src/common/logger.js";
+import { SeededRandom } from "../../../src/common/random.js";
 import type { ConditionalWrite, MetadataStore } from "../../../src/domain/gateway/metadata-store.js";
-import { FormerProcess, type ProcessRecords, RouterDirectory } from "../../../src/process/gateway/router-directory.js";
+import type { SocketAddress } from "../../../src/domain/gateway/server-entry.js";
+import type { ProcessRecords } from "../../../src/process/gateway/process-records.js";
+import { FormerProcess, RouterDirectory } from "../../../src/process/gateway/router-directory.js";
+import type { StoreEra } from "../../../src/process/gateway/store-era.js";
+import { ReadContext } from "../../../src/process/gateway/store-observer.js";
+import { createStoreEra } from "../../support/store-positions.js";
 
 const address = { host: "10.0.0.1", port: 1 };
 const routers = (...names: string[]) => new Map(names.map(name => [name, address] as const));
 const shareMilliseconds = 60_000;
 const windowMilliseconds = 10_000;
-const first: ProcessRecords = { fleetHasStarted: false, settled: new Set() };
+const first: ProcessRecords = { fleetHasStarted: false, byRouter: new Map() };
+const settledBy = (...names: string[]): ProcessRecords => ({
+    fleetHasStarted: true,
+    byRouter: new Map(names.map(name => [name, { settled: true, era: era.current, configurationVersion: 7 }])),
+});
+const replaceAll = (list: ReadonlyMap<string, SocketAddress>, records: ProcessRecords): void =>
+    directory.replaceAll(list, records, ReadContext.continuous);
+let era: StoreEra;
+let leases: number;
 let storeAnswers: boolean;
 let writes: string[];
 let directory: RouterDirectory;
 
 beforeEach(async () => {
+    era = createStoreEra();
+    leases = 0;
     storeAnswers = true;
     writes = [];
     const call = async () => {
         if (!storeAnswers) {
             throw new TypeError("the store does not answer");
         }
-        return 1;
+        return { id: ++leases, era: era.current };
     };
     const commit = async (write: ConditionalWrite) => {
-        writes.push(...write.writes.map(({ key, value, leaseId }) => `${key} ${value.toString()} ${leaseId}`));
+        writes.push(...write.writes.map(({ key, value, lease }) => `${key} ${value.toString()} ${lease?.id}`));
         return true;
     };
     const store = { grantLease: call, renewLease: call, revokeLease: call, commit } as unknown as MetadataStore;
-    directory = new RouterDirectory(
+    directory = new RouterDirectory({
         store,
-        { routerPrefix: "routers/", processPrefix: "processes/", fleetStarted: "started" },
-        "own",
-        address,
-        windowMilliseconds,
-        new SilentLogger(),
-    );
+        era,
+        keys: { routerPrefix: "routers/", processPrefix: "processes/", fleetStarted: "started" },
+        ownName: "own",
+        ownAddress: address,
+        settlingMilliseconds: windowMilliseconds,
+        configurationVersion: () => 7,
+        random: new SeededRandom(1),
+        logger: new SilentLogger(),
+    });
     await directory.start();
 });
 afterEach(() => directory.stop());
@@ -43,7 +62,7 @@
 test("nobody is counted before the routers that start together are on the list, and this router registers once it is read", async () => {
     await jest.advanceTimersByTimeAsync(1_000);
     expect([directory.budgetSharers, directory.formerProcess, writes]).toEqual([undefined, FormerProcess.unknown, []]);
-    directory.replaceAll(routers("a"), first);
+    replaceAll(routers("a"), first);
     await jest.advanceTimersByTimeAsync(1_000);
     expect(directory.budgetSharers).toBeUndefined();
     directory.put("own", address);
@@ -53,29 +72,29 @@
     await jest.advanceTimersByTimeAsync(200);
     directory.remove("a");
     expect([directory.budgetSharers, directory.formerProcess]).toEqual([3, FormerProcess.none]);
-    expect(writes).toEqual(["routers/own 10.0.0.1:1 1", "processes/own settled 1", "started 1 undefined"]);
+    expect(writes).toEqual(["routers/own 10.0.0.1:1 1", "processes/own settled 0 7 1", "started 1 undefined"]);
 });
 
 test.each([
-    ["settled", new Set(["own"]), FormerProcess.settled],
-    ["new itself, or whose record is lost,", new Set(["a"]), FormerProcess.unknown],
+    ["settled", "own", FormerProcess.settled],
+    ["new itself, or whose record is lost,", "a", FormerProcess.unknown],
 ])("a process after one that was %s records itself as new for a window", async (_case, settled, expected) => {
-    directory.replaceAll(routers("a"), { fleetHasStarted: true, settled });
+    replaceAll(routers("a"), settledBy(settled));
     await jest.advanceTimersByTimeAsync(1);
     expect(directory.formerProcess).toBe(expected);
-    expect(writes).toContain("processes/own new 1");
+    expect(writes).toContain("processes/own new 0 7 1");
     await jest.advanceTimersByTimeAsync(windowMilliseconds - 1_000);
-    expect(writes).not.toContain("processes/own settled 1");
+    expect(writes).not.toContain("processes/own settled 0 7 1");
     await jest.advanceTimersByTimeAsync(5_000);
-    expect(writes.filter(write => write === "processes/own settled 1")).toHaveLength(1);
-    directory.replaceAll(routers("a"), first);
+    expect(writes.filter(write => write === "processes/own settled 0 7 1")).toHaveLength(1);
+    replaceAll(routers("a"), first);
     expect(directory.formerProcess).toBe(expected);
 });
 
 test("routers whose registration ends are counted for a minute more, however long nobody asked", async () => {
-    directory.replaceAll(routers("a", "b", "own"), first);
+    replaceAll(routers("a", "b", "own"), first);
     await jest.advanceTimersByTimeAsync(5 * shareMilliseconds);
-    directory.replaceAll(routers("own"), first);
+    replaceAll(routers("own"), first);
     expect(directory.budgetSharers).toBe(3);
     await jest.advanceTimersByTimeAsync(shareMilliseconds - 1_000);
     expect(directory.budgetSharers).toBe(3);
@@ -85,7 +104,7 @@
 });
 
 test("a router that the others may no longer count has no share", async () => {
-    directory.replaceAll(routers("a", "own"), first);
+    replaceAll(routers("a", "own"), first);
     await jest.advanceTimersByTimeAsync(1_000);
     storeAnswers = false;
     await jest.advanceTimersByTimeAsync(shareMilliseconds - 2_000);
--- a/test/process/gateway/server-registry.test.ts
+++ b/test/process/gateway/server-registry.test.ts
@@ -1,6 +1,8 @@
 import { beforeEach, describe, expect, jest, test } from "@jest/globals";
 import { SilentLogger } from "../../../src/common/logger.js";
 import { ServerRegistry } from "../../../src/process/gateway/server-registry.js";
+import { ReadContext } from "../../../src/process/gateway/store-observer.js";
+import { at } from "../../support/store-positions.js";
 import { serverEntry } from "./fixtures.js";
 
 const expiryGraceMilliseconds = 1_700;
@@ -9,9 +11,9 @@
 const activeIds = () => registry.active("pool").map(({ id }) => id);
 const replaceAll = (ids: readonly string[], revision: number, afterOutage: boolean) =>
     registry.replaceAll({
-        entries: new Map(ids.map(id => [id, { entry: serverEntry(id), revision: 1 }])),
-        revision,
-        afterOutage,
+        entries: new Map(ids.map(id => [id, { entry: serverEntry(id), position: at(1) }])),
+        position: at(revision),
+        context: afterOutage ? ReadContext.afterOutage : ReadContext.continuous,
     });
 
 beforeEach(() => {
@@ -20,22 +22,22 @@
 
 describe("ServerRegistry", () => {
     test("a draining server is not active, and is listed as recently leaving for a bounded time only", () => {
-        registry.put(serverEntry("a"), 1);
-        registry.put(serverEntry("a", { draining: true }), 2);
+        registry.put(serverEntry("a"), at(1));
+        registry.put(serverEntry("a", { draining: true }), at(2));
         expect(activeIds()).toEqual([]);
         expect(registry.recentlyLeaving("pool", 1_000)).toHaveLength(1);
         jest.advanceTimersByTime(900);
-        registry.put(serverEntry("a", { draining: true, slots: 3 }), 3);
+        registry.put(serverEntry("a", { draining: true, slots: 3 }), at(3));
         jest.advanceTimersByTime(200);
         expect(registry.recentlyLeaving("pool", 1_000)).toHaveLength(0);
     });
 
     test("changes with an older or equal revision are ignored", () => {
-        registry.put(serverEntry("a", { draining: true }), 5);
-        registry.put(serverEntry("a"), 4);
+        registry.put(serverEntry("a", { draining: true }), at(5));
+        registry.put(serverEntry("a"), at(4));
         expect(activeIds()).toEqual([]);
-        registry.put(serverEntry("b"), 6);
-        registry.remove("b", 6);
+        registry.put(serverEntry("b"), at(6));
+        registry.remove("b", at(6));
         expect(activeIds()).toEqual(["b"]);
     });
 
@@ -49,7 +51,7 @@
 
     test("a server that was draining before an outage does not become active again after it", () => {
         replaceAll(["a"], 10, false);
-        registry.put(serverEntry("a", { draining: true }), 11);
+        registry.put(serverEntry("a", { draining: true }), at(11));
         replaceAll([], 20, true);
         expect(activeIds()).toEqual([]);
     });
@@ -71,8 +73,8 @@
     });
 
     test("a notice corrects layers and hides lost servers until it expires, for one start of a server only", () => {
-        registry.put(serverEntry("a", { layers: { first: 0, last: 4 } }), 1);
-        registry.put(serverEntry("b"), 1);
+        registry.put(serverEntry("a", { layers: { first: 0, last: 4 } }), at(1));
+        registry.put(serverEntry("b"), at(1));
         const layers = { first: 5, last: 9 };
         registry.applyNotice([
             { id: "a", bornAt: 1, layers, lost: false },
@@ -88,10 +90,10 @@
     test("only a notice shows that layers were dropped, since a registry entry may be older than the notice", () => {
         const layers = { first: 0, last: 9 };
         const chosen = serverEntry("a", { layers });
-        registry.put(serverEntry("a"), 1);
+        registry.put(serverEntry("a"), at(1));
         registry.applyNotice([{ id: "a", bornAt: 1, layers, lost: false }]);
         expect(registry.hasDroppedLayers(chosen, layers)).toBe(false);
-        registry.put(serverEntry("a", { slots: 11 }), 2);
+        registry.put(serverEntry("a", { slots: 11 }), at(2));
         registry.applyNotice([]);
         expect(registry.hasDroppedLayers(chosen, layers)).toBe(false);
         registry.applyNotice([{ id: "a", bornAt: 1, layers: { first: 0, last: 4 }, lost: false }]);
@@ -104,9 +106,9 @@
     });
 
     test("a newer registry entry overrides a notice", () => {
-        registry.put(serverEntry("a"), 1);
+        registry.put(serverEntry("a"), at(1));
         registry.applyNotice([{ id: "a", bornAt: 1, layers: undefined, lost: true }]);
-        registry.put(serverEntry("a", { layers: { first: 0, last: 9 } }), 2);
+        registry.put(serverEntry("a", { layers: { first: 0, last: 9 } }), at(2));
         expect(activeIds()).toEqual(["a"]);
     });
 
@@ -115,13 +117,13 @@
         const leavingIds = () => registry.recentlyLeaving("pool", 1_000).map(({ id }) => id);
 
         test("is not active, and is listed as recently leaving from its first announcement", () => {
-            registry.put(serverEntry("a"), 1);
+            registry.put(serverEntry("a"), at(1));
             announce();
             expect(activeIds()).toEqual([]);
             expect(registry.registered("pool")).toEqual([]);
             jest.advanceTimersByTime(900);
             announce();
-            registry.put(serverEntry("a", { draining: true }), 2);
+            registry.put(serverEntry("a", { draining: true }), at(2));
             expect(leavingIds()).toEqual(["a"]);
             jest.advanceTimersByTime(200);
             expect(leavingIds()).toEqual([]);
@@ -130,7 +132,7 @@
         test("does not return by a newer entry that says ready, a full read after an outage or a notice", () => {
             replaceAll(["a"], 10, false);
             announce();
-            registry.put(serverEntry("a"), 11);
+            registry.put(serverEntry("a"), at(11));
             expect(activeIds()).toEqual([]);
             replaceAll(["a"], 20, true);
             expect(activeIds()).toEqual([]);
@@ -143,10 +145,10 @@
             announce();
             replaceAll([], 20, true);
             expect(activeIds()).toEqual([]);
-            jest.advanceTimersByTime(10_001);
+            jest.advanceTimersByTime(60_001);
             replaceAll([], 21, false);
             expect(registry.get("a")).toBeUndefined();
-            registry.put(serverEntry("a"), 22);
+            registry.put(serverEntry("a"), at(22));
             expect(activeIds()).toEqual([]);
             expect(leavingIds()).toEqual([]);
         });
@@ -161,14 +163,14 @@
 
         test("is not active when its entry arrives after the announcement", () => {
             announce();
-            registry.put(serverEntry("a"), 1);
+            registry.put(serverEntry("a"), at(1));
             expect(activeIds()).toEqual([]);
         });
 
         test("returns with its next start, and an announcement of an earlier start does not affect a later one", () => {
-            registry.put(serverEntry("a"), 1);
+            registry.put(serverEntry("a"), at(1));
             announce();
-            registry.put(serverEntry("a", { bornAt: 2 }), 2);
+            registry.put(serverEntry("a", { bornAt: 2 }), at(2));
             expect(activeIds()).toEqual(["a"]);
             announce(0);
             expect(activeIds()).toEqual(["a"]);
@@ -178,7 +180,7 @@
 
         test("makes the placement leader plan again", () => {
             const listener = jest.fn();
-            registry.put(serverEntry("a"), 1);
+            registry.put(serverEntry("a"), at(1));
             registry.onChange(listener);
             announce();
             expect(listener).toHaveBeenCalledTimes(1);
--- a/test/process/gateway/slowdown-survey.test.ts
+++ b/test/process/gateway/slowdown-survey.test.ts
@@ -6,7 +6,9 @@
 import { ServerRegistry } from "../../../src/process/gateway/server-registry.js";
 import { ServerSlowdowns } from "../../../src/process/gateway/server-slowdowns.js";
 import { SlowdownSurvey } from "../../../src/process/gateway/slowdown-survey.js";
+import { ReadContext } from "../../../src/process/gateway/store-observer.js";
 import { failures } from "../../support/failures.js";
+import { at } from "../../support/store-positions.js";
 import { engineProfile, gatewayConfiguration, serverEntry } from "./fixtures.js";
 
 const engineCount = 86;
@@ -31,9 +33,9 @@
     const logger = new SilentLogger();
     const registry = new ServerRegistry(0, logger);
     registry.replaceAll({
-        entries: new Map(ids.map(id => [id, { entry: serverEntry(id), revision: 1 }])),
-        revision: 1,
-        afterOutage: false,
+        entries: new Map(ids.map(id => [id, { entry: serverEntry(id), position: at(1) }])),
+        position: at(1),
+        context: ReadContext.continuous,
     });
     const configuration = new ActiveConfiguration(logger);
     const pool = { name: "pool", maximumConnections: 100, healthPath: undefined, engine: engineProfile };
--- a/test/process/gateway/store-dispatcher.test.ts
+++ b/test/process/gateway/store-dispatcher.test.ts
@@ -16,13 +16,17 @@
 import { SeededRandom } from "../../../src/common/random.js";
 import type { ChangeBatch, ItemPage, MetadataStore, StoredItem } from "../../../src/domain/gateway/metadata-store.js";
 import type { StoreLayout } from "../../../src/domain/gateway/store-layout.js";
+import { PeerUnreachableError } from "../../../src/errors/index.js";
 import { ActiveConfiguration } from "../../../src/process/gateway/active-configuration.js";
 import { RouterDirectory } from "../../../src/process/gateway/router-directory.js";
 import { ServerRegistry } from "../../../src/process/gateway/server-registry.js";
+import { StartupCheck } from "../../../src/process/gateway/startup-check.js";
 import { StoreCache } from "../../../src/process/gateway/store-cache.js";
 import { StoreDispatcher } from "../../../src/process/gateway/store-dispatcher.js";
 import { StoreWatcher } from "../../../src/process/gateway/store-watcher.js";
 import { configuration as configurationBody } from "../../platform/gateway-fixture.js";
+import { failures } from "../../support/failures.js";
+import { at, createStoreEra } from "../../support/store-positions.js";
 import { createIdleQuarantine, gatewayConfiguration } from "./fixtures.js";
 
 const soundLayout: StoreLayout = {
@@ -69,9 +73,13 @@
 let routers: RouterDirectory;
 let configuration: ActiveConfiguration;
 
-const item = ([key, text]: [string, string]): StoredItem => ({ key, value: Buffer.from(text), revision: ++revision });
-const page = (items: readonly StoredItem[]): ItemPage => ({ items, hasMore: false, storeRevision: revision });
-const batch = (items: readonly StoredItem[]): ChangeBatch => ({ changes: items, storeRevision: revision });
+const item = ([key, text]: [string, string]): StoredItem => ({
+    key,
+    value: Buffer.from(text),
+    position: at(++revision),
+});
+const page = (items: readonly StoredItem[]): ItemPage => ({ items, hasMore: false, position: at(revision) });
+const batch = (items: readonly StoredItem[]): ChangeBatch => ({ changes: items, position: at(revision) });
 
 /** Runs a watcher, a cache and a dispatcher over a script of reads; returns the number of full reads. */
 async function follow(layout: StoreLayout, script: (ItemPage | ChangeBatch)[]): Promise<number> {
@@ -88,18 +96,33 @@
         },
         readChanges: next,
     };
-    routers = new RouterDirectory(
-        store as MetadataStore,
-        { routerPrefix: "", processPrefix: "processes/", fleetStarted: "started" },
-        "own",
-        { host: "10.0.0.9", port: 1 },
-        10_000,
+    const era = createStoreEra();
+    routers = new RouterDirectory({
+        store: store as MetadataStore,
+        era,
+        keys: { routerPrefix: "", processPrefix: "processes/", fleetStarted: "started" },
+        ownName: "own",
+        ownAddress: { host: "10.0.0.9", port: 1 },
+        settlingMilliseconds: 10_000,
+        configurationVersion: () => 0,
+        random: new SeededRandom(1),
         logger,
-    );
+    });
+    const startup = new StartupCheck({
+        active: configuration,
+        source: { readConfiguration: () => Promise.reject(new PeerUnreachableError("10.0.0.8:1", "away")) },
+        decode: layout.decodeConfiguration,
+        era,
+        ownName: "own",
+        contacts: [],
+        fleetIsRunning: () => undefined,
+        failures,
+        logger,
+    });
     const leader = { leaderKeyChanged: () => undefined };
     const dispatcher = new StoreDispatcher(
         layout,
-        configuration,
+        startup,
         registry,
         routers,
         leader,
@@ -107,7 +130,7 @@
         logger,
     );
     const cache = new StoreCache(dispatcher);
-    await new StoreWatcher(store as MetadataStore, "", cache, new SeededRandom(1), () => 0, logger).start();
+    await new StoreWatcher(store as MetadataStore, "", era, cache, new SeededRandom(1), () => 0, logger).start();
     await jest.advanceTimersByTimeAsync(5_000);
     return pages;
 }
--- a/test/process/gateway/store-watcher.test.ts
+++ b/test/process/gateway/store-watcher.test.ts
@@ -2,8 +2,10 @@
 import { SilentLogger } from "../../../src/common/logger.js";
 import { SeededRandom } from "../../../src/common/random.js";
 import type { ChangeBatch, ItemPage, MetadataStore } from "../../../src/domain/gateway/metadata-store.js";
+import type { StorePosition } from "../../../src/domain/gateway/store-position.js";
 import { HistoryLostError, PlatformUnavailableError } from "../../../src/errors/index.js";
 import { StoreWatcher } from "../../../src/process/gateway/store-watcher.js";
+import { at, createStoreEra } from "../../support/store-positions.js";
 
 /** Answers each call with the next step of a script; calls after the last step never complete. */
 class ScriptedStore implements Partial<MetadataStore> {
@@ -16,8 +18,8 @@
         return this.next() as Promise<ItemPage>;
     }
 
-    readChanges(_prefix: string, afterRevision: number): Promise<ChangeBatch> {
-        this.calls.push(`changes ${afterRevision}`);
+    readChanges(_prefix: string, after: StorePosition): Promise<ChangeBatch> {
+        this.calls.push(`changes ${after.revision}`);
         return this.next() as Promise<ChangeBatch>;
     }
 
@@ -38,10 +40,12 @@
     const watcher = new StoreWatcher(
         store as unknown as MetadataStore,
         "",
+        createStoreEra(),
         {
-            replaceAll: (items, revision, afterOutage) =>
+            replaceAll: (items, { revision }, afterOutage) =>
                 received.push(`all ${items.length}@${revision} ${afterOutage}`),
-            applyChanges: changes => received.push(`changes ${changes.map(({ revision }) => revision).join(",")}`),
+            applyChanges: changes =>
+                received.push(`changes ${changes.map(({ position }) => position.revision).join(",")}`),
         },
         new SeededRandom(1),
         () => 200,
@@ -51,15 +55,15 @@
     return { store, received, watcher };
 }
 
-const page = (storeRevision: number): ItemPage => ({ items: [], hasMore: false, storeRevision });
+const page = (revision: number): ItemPage => ({ items: [], hasMore: false, position: at(revision) });
 const change = (revision: number): ChangeBatch => ({
-    changes: [{ key: "k", revision, value: Buffer.from("v") }],
-    storeRevision: revision,
+    changes: [{ key: "k", position: at(revision), value: Buffer.from("v") }],
+    position: at(revision),
 });
 
 describe("StoreWatcher", () => {
     test("each read of changes begins at the last revision", async () => {
-        const { store, received } = startWatcher([page(5), change(7), { changes: [], storeRevision: 9 }]);
+        const { store, received } = startWatcher([page(5), change(7), { changes: [], position: at(9) }]);
         await jest.advanceTimersByTimeAsync(1_000);
         expect(received).toEqual(["all 0@5 false", "changes 7"]);
         expect(store.calls).toEqual(["page", "changes 5", "changes 7", "changes 9"]);
--- a/test/request/gateway/layer-path-chooser.test.ts
+++ b/test/request/gateway/layer-path-chooser.test.ts
@@ -9,6 +9,7 @@
 import { LayerPathChooser } from "../../../src/request/gateway/layer-path-chooser.js";
 import { CheapestLayerPathFinder, type LayerPath } from "../../../src/request/gateway/layer-path-finder.js";
 import { engineProfile, serverEntry } from "../../process/gateway/fixtures.js";
+import { at } from "../../support/store-positions.js";
 
 const size = { promptTokens: 700, outputTokens: 150 };
 const firstHalf = { first: 0, last: 9 };
@@ -40,9 +41,9 @@
     registry = new ServerRegistry(0, new SilentLogger());
     exclusions = new ServerExclusions(new SilentLogger());
     chooser = createChooser(0);
-    registry.put(engine("first", firstHalf), 1);
-    registry.put(engine("second", secondHalf), 2);
-    registry.put(engine("spare", secondHalf, "south"), 3);
+    registry.put(engine("first", firstHalf), at(1));
+    registry.put(engine("second", secondHalf), at(2));
+    registry.put(engine("spare", secondHalf, "south"), at(3));
 });
 
 describe("an engine that announced that it is leaving", () => {
@@ -75,8 +76,8 @@
 
     test("is not used while it is leaving either", () => {
         chooser = createChooser(5_000);
-        registry.put(engine("second", secondHalf, "north", { draining: true }), 4);
-        registry.put(engine("spare", secondHalf, "south", { draining: true }), 5);
+        registry.put(engine("second", secondHalf, "north", { draining: true }), at(4));
+        registry.put(engine("spare", secondHalf, "south", { draining: true }), at(5));
         exclusions.recordRequestedPause("second", 1_000);
         expect(choose()).toEqual(["first", "spare"]);
         exclusions.recordRequestedPause("spare", 1_000);
--- a/test/request/gateway/plain-server-chooser.test.ts
+++ b/test/request/gateway/plain-server-chooser.test.ts
@@ -17,6 +17,7 @@
     TwoChoicesPolicy,
 } from "../../../src/request/gateway/plain-server-chooser.js";
 import { serverEntry } from "../../process/gateway/fixtures.js";
+import { at } from "../../support/store-positions.js";
 
 const slots = 6;
 const servers = ["a", "b", "c", "d", "e"].map(id => serverEntry(id, { slots }));
@@ -126,15 +127,15 @@
         const policy = new LeastLoadedPolicy({ requests: () => 0 }, new SeededRandom(1));
         const chooser = new PreferredServerChooser(registry, exclusions, policy, 5_000);
         const choose = () => chooser.choose("pool", new Set())?.id;
-        registry.put(serverEntry("a"), 1);
-        registry.put(serverEntry("b"), 2);
+        registry.put(serverEntry("a"), at(1));
+        registry.put(serverEntry("b"), at(2));
         exclusions.recordRequestedPause("a", 1_000);
         expect(choose()).toBe("b");
         expect(chooser.pauseMilliseconds("pool")).toBe(0);
         exclusions.recordRequestedPause("b", 2_000);
         expect(choose()).toBeUndefined();
         expect(chooser.pauseMilliseconds("pool")).toBeCloseTo(1_000);
-        registry.put(serverEntry("a", { draining: true }), 3);
+        registry.put(serverEntry("a", { draining: true }), at(3));
         expect(choose()).toBeUndefined();
         jest.advanceTimersByTime(1_001);
         expect(choose()).toBe("a");
