--- a/test/platform/gateway-fixture.ts
+++ b/test/platform/gateway-fixture.ts
@@ -213,9 +213,11 @@
         servers: PlacementNotice["servers"],
         retryGrants: PlacementNotice["retryGrants"] = new Map(),
         slowdowns: PlacementNotice["slowdowns"] = new Map(),
+        storeEra?: number,
     ): Promise<GatewayResponse> {
         const body = encodeNotice({
             sender: "leader",
+            storeEra,
             servers,
             otherLoads: new Map(),
             retryGrants,
--- a/test/platform/store-from-older-copy.test.ts
+++ b/test/platform/store-from-older-copy.test.ts
@@ -168,3 +168,14 @@
     expect([...statuses]).toEqual([401]);
     expect(await statusWithKey(starting, "key-1")).toBe(200);
 });
+
+test("a notice of a leader of an earlier era is refused, and one of a later era shows that the store has returned", async () => {
+    await start(createApp("app-1"));
+    const send = async (era: number | undefined) =>
+        (await fixture.sendPlacementNotice([], new Map(), new Map(), era)).status;
+    expect([await send(0), await send(undefined), await send(1), await send(2)]).toEqual([400, 200, 200, 200]);
+    expect(await send(1)).toBe(400);
+    fixture.store.era = 2;
+    fixture.publish(2);
+    await expectWithin(configurationApplyMilliseconds, async gateway => await statusWithKey(gateway, "key-2") === 401);
+});
--- a/test/process/gateway/placement-leadership.test.ts
+++ b/test/process/gateway/placement-leadership.test.ts
@@ -3,7 +3,7 @@
 import { SilentLogger } from "../../../src/common/logger.js";
 import { SeededRandom } from "../../../src/common/random.js";
 import type { LeadershipOffer } from "../../../src/domain/gateway/leadership-offer.js";
-import type { ConditionalWrite, MetadataStore } from "../../../src/domain/gateway/metadata-store.js";
+import type { ConditionalWrite, ItemCondition, MetadataStore } from "../../../src/domain/gateway/metadata-store.js";
 import type { StoreLease } from "../../../src/domain/gateway/store-position.js";
 import { LeaseLostError, PlatformUnavailableError } from "../../../src/errors/index.js";
 import { PlacementLeadership } from "../../../src/process/gateway/layer-placement/placement-leadership.js";
@@ -18,6 +18,9 @@
     loseCommitResponse = false;
     lostLeases = new Set<number>();
     readonly revokedLeases: number[] = [];
+    readonly renewedLeases: number[] = [];
+    readonly conditions: ItemCondition[] = [];
+    commitMilliseconds = 0;
     grantMilliseconds = 0;
     grantCalls = 0;
     private nextLease = 1;
@@ -31,7 +34,11 @@
 
     async commit(write: ConditionalWrite): Promise<boolean> {
         this.check();
-        if (this.holder !== undefined) {
+        const [condition] = write.conditions;
+        this.conditions.push(condition!);
+        await delay(this.commitMilliseconds);
+        const isOutdated = write.writes[0]!.lease!.era !== era.current;
+        if (isOutdated || (condition!.position === undefined && this.holder !== undefined)) {
             return false;
         }
         this.holder = write.writes[0]!.value.toString();
@@ -43,6 +50,7 @@
 
     async renewLease({ id }: StoreLease): Promise<void> {
         this.check();
+        this.renewedLeases.push(id);
         if (this.lostLeases.has(id)) {
             throw new LeaseLostError(String(id));
         }
@@ -193,4 +201,93 @@
         expect(store.revokedLeases).toEqual([1]);
         expect(leadership.isLeader).toBe(false);
     });
+
+    describe("as the store comes back from an older copy", () => {
+        const ownKey = (revision: number, ofEra: number) => ({ holder: "me", position: at(revision, ofEra) });
+        const beginEra = (next: number) => {
+            era.observe(next);
+            leadership.handleNewEra();
+        };
+
+        beforeEach(async () => {
+            era.observe(1);
+            leadership.leaderKeyChanged(undefined);
+            await jest.advanceTimersByTimeAsync(600);
+            expect(leadership.isLeader).toBe(true);
+        });
+
+        // Its ID may belong to another router by now.
+        test("stops leading at once, and neither renews nor revokes its lease", async () => {
+            beginEra(2);
+            expect(leadership.isLeader).toBe(false);
+            await jest.advanceTimersByTimeAsync(5_000);
+            await leadership.stop();
+            expect([store.renewedLeases, store.revokedLeases]).toEqual([[], []]);
+        });
+
+        test("replaces its own key of the copy on the condition of its position, and leads again", async () => {
+            beginEra(2);
+            leadership.leaderKeyChanged(ownKey(5, 2));
+            await jest.advanceTimersByTimeAsync(20);
+            expect(store.conditions.at(-1)).toEqual({ key: "leader", position: at(5, 2) });
+            expect(leadership.isLeader).toBe(true);
+        });
+
+        test("does not take its own key of the copy for that of a claim which is under way", async () => {
+            beginEra(2);
+            store.commitMilliseconds = 100;
+            leadership.leaderKeyChanged(ownKey(5, 2));
+            await jest.advanceTimersByTimeAsync(50);
+            leadership.leaderKeyChanged(ownKey(5, 2));
+            expect(leadership.isLeader).toBe(false);
+            leadership.leaderKeyChanged(ownKey(9, 2));
+            expect(leadership.isLeader).toBe(true);
+        });
+
+        test("claims a key that the copy does not hold, as the others do", async () => {
+            beginEra(2);
+            store.holder = undefined;
+            leadership.leaderKeyChanged(undefined);
+            await jest.advanceTimersByTimeAsync(600);
+            expect(store.conditions.at(-1)).toEqual({ key: "leader", position: undefined });
+            expect(leadership.isLeader).toBe(true);
+        });
+
+        test("waits while another router's key is in the copy", async () => {
+            beginEra(2);
+            leadership.leaderKeyChanged({ holder: "other", position: at(5, 2) });
+            await jest.advanceTimersByTimeAsync(5_000);
+            expect(leadership.isLeader).toBe(false);
+            expect(store.conditions).toHaveLength(1);
+        });
+
+        test("does not lead by a claim that began in the era before, and claims anew", async () => {
+            beginEra(2);
+            store.holder = undefined;
+            store.commitMilliseconds = 100;
+            leadership.leaderKeyChanged(undefined);
+            while (store.conditions.length < 2) {
+                await jest.advanceTimersByTimeAsync(10);
+            }
+            beginEra(3);
+            leadership.leaderKeyChanged(undefined);
+            await jest.advanceTimersByTimeAsync(60);
+            expect(leadership.isLeader).toBe(false);
+            store.holder = undefined;
+            await jest.advanceTimersByTimeAsync(1_000);
+            expect(store.conditions.length).toBeGreaterThan(2);
+            expect(leadership.isLeader).toBe(true);
+        });
+
+        test("adopts no lease of another era", () => {
+            beginEra(2);
+            const offer = (ofEra: number) => ({
+                lease: { id: 7, era: ofEra },
+                holder: "old",
+                renewedMillisecondsAgo: 0,
+            });
+            expect([leadership.adopt(offer(1)), leadership.adopt(offer(3)), leadership.adopt(offer(2))])
+                .toEqual([false, false, true]);
+        });
+    });
 });
--- a/test/process/gateway/prompt-quarantine/prompt-quarantine.test.ts
+++ b/test/process/gateway/prompt-quarantine/prompt-quarantine.test.ts
@@ -1,4 +1,4 @@
-import { afterEach, beforeEach, expect, jest, test } from "@jest/globals";
+import { afterEach, beforeEach, describe, expect, jest, test } from "@jest/globals";
 import { SilentLogger } from "../../../../src/common/logger.js";
 import { SilentMetrics } from "../../../../src/common/metrics.js";
 import type { StoredItem } from "../../../../src/domain/gateway/metadata-store.js";
@@ -232,3 +232,57 @@
 test("keys of others are left to others", () => {
     expect(createQuarantine().applyChange({ key: "routers/edge-1", position: at(1), value: undefined })).toBe(false);
 });
+
+describe("after the store has come back from an older copy", () => {
+    const returnWith = (quarantine: PromptQuarantine, ...items: StoredItem[]) =>
+        quarantine.replaceAll(items, ReadContext.newEra);
+    const blockItem = (ofEra: number): StoredItem => ({
+        key: blockKey,
+        position: at(3, ofEra),
+        value: Buffer.from(""),
+    });
+
+    // The block ended on all routers, and the part crashed engines again.
+    test("a block whose key is missing goes on, with what is left of its time, and is to be written again", () => {
+        const quarantine = createQuarantine();
+        quarantine.applyChange({ key: blockKey, position: at(90, 1), value: Buffer.from("") });
+        jest.advanceTimersByTime(100_000);
+        returnWith(quarantine);
+        expect(isBlocked(quarantine)).toBe(true);
+        expect(quarantine.unstoredBlocks).toMatchObject([{ key: blockKey, leaseMilliseconds: 500_000 }]);
+        quarantine.replaceAll([], ReadContext.continuous);
+        expect(isBlocked(quarantine)).toBe(true);
+        quarantine.applyChange({ key: blockKey, position: at(11, 2), value: Buffer.from("") });
+        expect(quarantine.unstoredBlocks).toEqual([]);
+        quarantine.replaceAll([], ReadContext.continuous);
+        expect(isBlocked(quarantine)).toBe(false);
+    });
+
+    test("a block that has been lifted stays lifted, although the copy holds its key, until the key changes", () => {
+        const quarantine = createQuarantine();
+        quarantine.applyChange({ key: blockKey, position: at(90, 1), value: Buffer.from("") });
+        quarantine.applyChange({ key: blockKey, position: at(95, 1), value: undefined });
+        returnWith(quarantine, blockItem(2));
+        quarantine.replaceAll([blockItem(2)], ReadContext.afterOutage);
+        expect(isBlocked(quarantine)).toBe(false);
+        expect(quarantine.unstoredBlocks).toEqual([]);
+        expect(warnings).toEqual([
+            "block was lifted before the store came back from a copy; delete its key once more",
+        ]);
+        quarantine.applyChange({ key: blockKey, position: at(12, 2), value: Buffer.from("") });
+        expect(isBlocked(quarantine)).toBe(true);
+    });
+
+    test("evidence that this router had written, and no other, is to be written again", () => {
+        const other = createQuarantine("router-2");
+        crash(other, 1);
+        const [others] = evidence.splice(0);
+        const quarantine = createQuarantine();
+        quarantine.applyChange(stored(others!));
+        crash(quarantine, 2);
+        const [kept, lost] = evidence;
+        returnWith(quarantine, stored(kept!));
+        expect(quarantine.takeLostEvidence()).toEqual([lost]);
+        expect(quarantine.takeLostEvidence()).toEqual([]);
+    });
+});
--- a/test/process/gateway/server-registry.test.ts
+++ b/test/process/gateway/server-registry.test.ts
@@ -1,5 +1,6 @@
 import { beforeEach, describe, expect, jest, test } from "@jest/globals";
 import { SilentLogger } from "../../../src/common/logger.js";
+import type { ServerEntry } from "../../../src/domain/gateway/server-entry.js";
 import { ServerRegistry } from "../../../src/process/gateway/server-registry.js";
 import { ReadContext } from "../../../src/process/gateway/store-observer.js";
 import { at } from "../../support/store-positions.js";
@@ -188,4 +189,94 @@
             expect(listener).toHaveBeenCalledTimes(1);
         });
     });
+
+    describe("after the store has come back from an older copy", () => {
+        const returnWith = (...entries: ServerEntry[]) =>
+            registry.replaceAll({
+                entries: new Map(entries.map(entry => [entry.id, { entry, position: at(5, 2) }])),
+                position: at(10, 2),
+                context: ReadContext.newEra,
+            });
+        const layers = (last: number) => ({ layers: { first: 0, last } });
+
+        beforeEach(() => {
+            registry.put(serverEntry("a", { heartbeats: 7 }), at(90, 1));
+            registry.put(serverEntry("b", { heartbeats: 7 }), at(91, 1));
+        });
+
+        test("a server that has left since the copy stays out, until it registers again itself", () => {
+            registry.remove("a", at(100, 1));
+            returnWith(serverEntry("a", { heartbeats: 3 }), serverEntry("b", { heartbeats: 3 }));
+            expect(activeIds()).toEqual(["b"]);
+            expect(registry.distrustedCount).toBe(1);
+            registry.put(serverEntry("a", { heartbeats: 8 }), at(11, 2));
+            expect(activeIds()).toEqual(["a", "b"]);
+        });
+
+        test("a server that has left is back if its entry is newer than its departure, or outlasts all that lapse", () => {
+            registry.remove("a", at(100, 1));
+            registry.put(serverEntry("b", { draining: true, heartbeats: 8 }), at(101, 1));
+            returnWith(serverEntry("a", { heartbeats: 8 }), serverEntry("b", { heartbeats: 3 }));
+            expect(activeIds()).toEqual(["a"]);
+            jest.advanceTimersByTime(9_900);
+            expect(activeIds()).toEqual(["a"]);
+            jest.advanceTimersByTime(200);
+            expect(activeIds().sort()).toEqual(["a", "b"]);
+        });
+
+        test("an entry of the copy that lapses ends the doubt about its server", () => {
+            registry.remove("a", at(100, 1));
+            returnWith(serverEntry("a", { heartbeats: 3 }), serverEntry("b", { heartbeats: 7 }));
+            registry.remove("a", at(12, 2));
+            expect(registry.distrustedCount).toBe(0);
+            jest.advanceTimersByTime(11_000);
+            expect(activeIds()).toEqual(["b"]);
+        });
+
+        test("an earlier start, or earlier layers, of a server do not replace what is known of it", () => {
+            registry.put(serverEntry("a", { bornAt: 2, heartbeats: 1, ...layers(9) }), at(100, 1));
+            registry.put(serverEntry("b", { heartbeats: 9, ...layers(9) }), at(101, 1));
+            returnWith(
+                serverEntry("a", { bornAt: 1, heartbeats: 30, ...layers(4) }),
+                serverEntry("b", { heartbeats: 3, ...layers(4) }),
+            );
+            expect(registry.active("pool").map(entry => [entry.bornAt, entry.layers!.last])).toEqual([[2, 9], [1, 9]]);
+            registry.put(serverEntry("b", { heartbeats: 10, ...layers(4) }), at(11, 2));
+            expect(registry.get("b")!.entry.layers!.last).toBe(4);
+        });
+
+        test("a later start, and a server that nobody knew, are taken in", () => {
+            returnWith(
+                serverEntry("a", { bornAt: 2, heartbeats: 1 }),
+                serverEntry("b", { heartbeats: 7 }),
+                serverEntry("c"),
+            );
+            expect(activeIds()).toEqual(["a", "b", "c"]);
+            expect(registry.get("a")!.entry.bornAt).toBe(2);
+        });
+
+        test("a server that the copy does not hold is used for as long as after an outage, unless it was leaving", () => {
+            registry.put(serverEntry("b", { draining: true }), at(100, 1));
+            returnWith();
+            expect(activeIds()).toEqual(["a"]);
+            expect(registry.stable).toBe(false);
+            jest.advanceTimersByTime(expiryGraceMilliseconds + 1);
+            expect(activeIds()).toEqual([]);
+            registry.put(serverEntry("a"), at(11, 2));
+            expect(activeIds()).toEqual(["a"]);
+        });
+
+        test("a notice on a server of which the copy says nothing new goes on to apply", () => {
+            registry.applyNotice([{ id: "a", bornAt: 1, layers: undefined, lost: true }]);
+            returnWith(serverEntry("a", { heartbeats: 7 }), serverEntry("b", { heartbeats: 7 }));
+            expect(activeIds()).toEqual(["b"]);
+        });
+
+        test("changes of the era before are ignored", () => {
+            returnWith(serverEntry("a", { heartbeats: 7 }), serverEntry("b", { heartbeats: 7 }));
+            registry.remove("a", at(500, 1));
+            registry.put(serverEntry("b", { draining: true }), at(501, 1));
+            expect(activeIds()).toEqual(["a", "b"]);
+        });
+    });
 });
