--- a/src/process/gateway/server-registry.ts
+++ b/src/process/gateway/server-registry.ts
@@ -4,22 +4,15 @@
  * the moment at which this process first learnt of it, and is not undone by later outages of the store. A departure that
  * the server itself announced is undone only by its next start, whatever the registry says.
  */
-import { isDeepStrictEqual } from "node:util";
 import { monotonicNow } from "../../common/clock.js";
 import type { Logger } from "../../common/logger.js";
 import type { ServerNotice } from "../../domain/gateway/placement-notice.js";
 import { formatSocketAddress, type ServerEntry } from "../../domain/gateway/server-entry.js";
 import { comparePositions, type StorePosition } from "../../domain/gateway/store-position.js";
 import { formatLayerRange, type LayerRange } from "../../domain/layers.js";
+import { DistrustedEntries, haveSameContent, isNewerStatement, type RegistryItem } from "./distrusted-entries.js";
 import { ReadContext } from "./store-observer.js";
 
-/** An entry as the store holds it. */
-export interface RegistryItem {
-    readonly entry: ServerEntry;
-    /** Of the entry's last change in the store. */
-    readonly position: StorePosition;
-}
-
 /** A backend server's registry entry and whether the server is leaving. */
 export interface RegisteredServer {
     readonly entry: ServerEntry;
@@ -46,11 +39,6 @@
     readonly entry: ServerEntry;
 }
 
-interface DistrustedItem extends RegistryItem {
-    /** Monotonic time in milliseconds. */
-    readonly until: number;
-}
-
 /** The result of a full read of the registry. */
 export interface RegistryContents {
     readonly entries: ReadonlyMap<string, RegistryItem>;
@@ -63,11 +51,6 @@
  * from a copy, some seconds old, in which they are still registered.
  */
 const removedRetentionMilliseconds = 60_000;
-/**
- * A server that is known to have left, or to have stated something newer, is taken at the word of a copy of the store only after
- * this time. The entry of a server that is gone lapses before, after three missed heartbeats of 1.2 s.
- */
-const copyDistrustMilliseconds = 10_000;
 /** According to the operators, servers that expired in an outage are registered again within about 2 s of its end. */
 const reregistrationMilliseconds = 2_500;
 /** The leader repeats its notices every 500 ms; without one for this time, the registry entry applies again. */
@@ -81,7 +64,7 @@
     /** Monotonic times of the first announcements of servers that they are leaving, keyed by server and start. */
     private readonly announcements = new Map<string, number>();
     /** Entries of a copy of the store that are older than what is known of their servers, by server. */
-    private readonly distrusted = new Map<string, DistrustedItem>();
+    private readonly distrusted = new DistrustedEntries();
     private readonly listeners = new Set<() => void>();
     private readonly noticeListeners = new Set<() => void>();
     private loaded = false;
@@ -161,6 +144,11 @@
 
     /** Adds or replaces a server's entry, unless the position is not later than the last one applied to the server. */
     put(entry: ServerEntry, position: StorePosition): void {
+        this.register(entry, position);
+        this.settleDistrusted();
+    }
+
+    private register(entry: ServerEntry, position: StorePosition): void {
         const before = this.registrations.get(entry.id);
         if (before !== undefined && comparePositions(before.position, position) >= 0) {
             return;
@@ -207,7 +195,12 @@
     }
 
     /** Marks a server as removed, unless the position is not later than the last one applied to the server. */
-    remove(id: string, position: StorePosition, afterOutage = false): void {
+    remove(id: string, position: StorePosition): void {
+        this.unregister(id, position, false);
+        this.settleDistrusted();
+    }
+
+    private unregister(id: string, position: StorePosition, afterOutage: boolean): void {
         const before = this.registrations.get(id);
         if (before === undefined || comparePositions(before.position, position) >= 0) {
             return;
@@ -242,11 +235,12 @@
                 this.putFromCopy(item);
             }
             else {
-                this.put(item.entry, item.position);
+                this.register(item.entry, item.position);
             }
         }
         [...this.registrations.keys()].filter(id => !entries.has(id))
-            .forEach(id => this.remove(id, position, afterOutage));
+            .forEach(id => this.unregister(id, position, afterOutage));
+        this.settleDistrusted();
         if (!this.loaded || afterOutage) {
             this.unstableUntil = monotonicNow() + reregistrationMilliseconds;
         }
@@ -259,30 +253,35 @@
         return this.distrusted.size;
     }
 
-    /** A copy's entry counts if the server made it after what is known of the server. */
+    /**
+     * A copy's entry counts if the server made it after what is known of the server. Whether that was before the server left
+     * cannot be told, so that a start of a server which is known to have left stays out.
+     */
     private putFromCopy(item: RegistryItem): void {
         const { entry, position } = item;
         const known = this.registrations.get(entry.id);
-        if (known === undefined || isNewerStatement(entry, known.entry)) {
-            this.put(entry, position);
+        const hasLeft = known?.leavingSince !== undefined && (known.graceEndsAt ?? 0) <= monotonicNow();
+        const isSameStart = known?.entry.bornAt === entry.bornAt;
+        const hasLapsed = known?.removed === true && !hasLeft && isSameStart;
+        if (known === undefined || hasLapsed || (isNewerStatement(entry, known.entry) && !(hasLeft && isSameStart))) {
+            this.register(entry, position);
             return;
         }
         // A later change is the server's own, and applies.
         this.registrations.set(entry.id, { ...known, position });
-        const isSame = known.leavingSince === undefined && haveSameContent(entry, known.entry);
-        if (!isSame) {
-            this.distrusted.set(entry.id, { ...item, until: monotonicNow() + copyDistrustMilliseconds });
+        if (hasLeft || !haveSameContent(entry, known.entry)) {
+            this.distrusted.add(item);
         }
     }
 
-    /** Applies entries of a copy that have outlasted the time in which they would have been replaced or removed. */
-    private settleDistrusted(now: number): void {
-        for (const [id, { entry, position, until }] of this.distrusted) {
-            if (until <= now) {
-                this.distrusted.delete(id);
-                this.registrations.delete(id);
-                this.put(entry, position);
-            }
+    /**
+     * Applies entries of a copy that have outlasted the time in which they would have been replaced or removed. Called with
+     * something that the store has just said, which would have come after a removal.
+     */
+    private settleDistrusted(): void {
+        for (const { entry, position } of this.distrusted.takeOutlasted()) {
+            this.registrations.delete(entry.id);
+            this.register(entry, position);
         }
     }
 
@@ -318,7 +317,6 @@
     /** Of all services if none is given. */
     private present(service?: string): Registration[] {
         const now = monotonicNow();
-        this.settleDistrusted(now);
         return [...this.registrations.values()].filter(({ entry, leavingSince, graceEndsAt }) =>
             (service === undefined || entry.service === service)
             && (leavingSince === undefined || (graceEndsAt ?? 0) > now)
@@ -372,18 +370,6 @@
     return `${bornAt ?? ""}/${id}`;
 }
 
-/** Whether the server made the entry after the other one, by its start and its heartbeats. */
-function isNewerStatement(entry: ServerEntry, than: ServerEntry): boolean {
-    if (entry.bornAt !== than.bornAt) {
-        return entry.bornAt !== undefined && (than.bornAt === undefined || entry.bornAt > than.bornAt);
-    }
-    return entry.heartbeats !== undefined && than.heartbeats !== undefined && entry.heartbeats > than.heartbeats;
-}
-
-function haveSameContent(left: ServerEntry, right: ServerEntry): boolean {
-    return isDeepStrictEqual({ ...left, heartbeats: undefined }, { ...right, heartbeats: undefined });
-}
-
 function covers(held: LayerRange | undefined, layers: LayerRange): boolean {
     return held !== undefined && held.first <= layers.first && layers.last <= held.last;
 }
--- a/src/process/gateway/store-dispatcher.ts
+++ b/src/process/gateway/store-dispatcher.ts
@@ -11,10 +11,11 @@
 import type { StoreLayout } from "../../domain/gateway/store-layout.js";
 import type { StorePosition } from "../../domain/gateway/store-position.js";
 import { MalformedConfigurationError } from "../../errors/index.js";
+import type { RegistryItem } from "./distrusted-entries.js";
 import { decodeProcessRecord, type ProcessRecord, type ProcessRecords } from "./process-records.js";
 import type { PromptQuarantine } from "./prompt-quarantine/prompt-quarantine.js";
 import type { RouterDirectory } from "./router-directory.js";
-import type { RegistryItem, ServerRegistry } from "./server-registry.js";
+import type { ServerRegistry } from "./server-registry.js";
 import type { StartupCheck } from "./startup-check.js";
 import { type ReadContext, type StoreObserver } from "./store-observer.js";
 
