Let returns of the store take part in the test of the fleet's retry budget

Change: the platform says in the settings whether the whole fleet starts for the first time (`isFirstFleetStart`); without that, a process is never taken for the first of its router.

--- a/src/daemon/gateway/gateway-state.ts
+++ b/src/daemon/gateway/gateway-state.ts
@@ -90,6 +90,7 @@
         ownName: settings.router.name,
         ownAddress: settings.listen.peers,
         settlingMilliseconds: settings.bounds.retryWindowSeconds * millisecondsPerSecond,
+        mayBeFirstFleetStart: settings.router.isFirstFleetStart ?? true,
         configurationVersion: () => configuration.current?.version ?? 0,
         random,
         logger: logger.withLabel("routers"),
--- a/src/process/gateway/router-directory.ts
+++ b/src/process/gateway/router-directory.ts
@@ -61,6 +61,8 @@
     readonly ownAddress: SocketAddress;
     /** Window of the retry budget in milliseconds. */
     readonly settlingMilliseconds: number;
+    /** Whether the whole fleet may be starting for the first time. */
+    readonly mayBeFirstFleetStart: boolean;
     /** Version of the configuration in force; 0 before the first one. */
     configurationVersion(): number;
     readonly random: RandomSource;
@@ -153,7 +155,7 @@
         }
     }
 
-    /** Corrects what the store has said: other routers have been running for long, so this process may follow another one. */
+    /** Corrects what the store has said: the fleet has been running before, so this process may follow another one. */
     handleRunningFleet(): void {
         if (this.former === FormerProcess.none) {
             this.former = FormerProcess.unknown;
@@ -194,8 +196,11 @@
     replaceAll(routers: ReadonlyMap<string, SocketAddress>, records: ProcessRecords, context: ReadContext): void {
         if (!this.hasBeenRead) {
             this.hasBeenRead = true;
-            const { ownName, era } = this.dependencies;
+            const { ownName, era, mayBeFirstFleetStart } = this.dependencies;
             this.former = findFormerProcess(records, ownName, era.current);
+            if (!mayBeFirstFleetStart) {
+                this.handleRunningFleet();
+            }
         }
         this.resolveLoaded();
         [...this.routers.keys()].filter(name => !routers.has(name)).forEach(name => {
--- a/src/process/gateway/settings.ts
+++ b/src/process/gateway/settings.ts
@@ -13,7 +13,13 @@
 const positive = () => z.number().check(z.positive("a number greater than 0"));
 
 const gatewaySettingsSchema = z.object({
-    router: z.object({ name: text(), availabilityZone: text(), region: text() }),
+    router: z.object({
+        name: text(),
+        availabilityZone: text(),
+        region: text(),
+        /** False unless the whole fleet starts for the first time; without it, the store alone tells. */
+        isFirstFleetStart: z.optional(z.boolean()),
+    }),
     listen: z.object({
         callers: address(),
         readiness: address(),
--- a/test/process/gateway/retry-budget-of-a-fleet.test.ts
+++ b/test/process/gateway/retry-budget-of-a-fleet.test.ts
@@ -9,7 +9,7 @@
 import type { ConditionalWrite, MetadataStore } from "../../../src/domain/gateway/metadata-store.js";
 import type { SocketAddress } from "../../../src/domain/gateway/server-entry.js";
 import { FleetRetryBudget } from "../../../src/process/gateway/fleet-retry-budget.js";
-import { decodeProcessRecord } from "../../../src/process/gateway/process-records.js";
+import { decodeProcessRecord, type ProcessRecord } from "../../../src/process/gateway/process-records.js";
 import { RouterDirectory } from "../../../src/process/gateway/router-directory.js";
 import { ReadContext } from "../../../src/process/gateway/store-observer.js";
 import { WindowedRetryBudget } from "../../../src/process/gateway/windowed-retry-budget.js";
@@ -21,6 +21,8 @@
 const windowMilliseconds = 10_000;
 const stepMilliseconds = 250;
 const stepsPerNotice = 2;
+/** Of a starting router that asks others how long they have been running. */
+const startTogetherMilliseconds = 5_000;
 const stepsPerScenario = 240;
 const [firstSeed, lastSeed] = (process.env["SEEDS"] ?? "1-25").split("-").map(Number);
 
@@ -30,20 +32,23 @@
     readonly budget: WindowedRetryBudget;
     readonly fleetBudget: FleetRetryBudget;
     storeAnswers = true;
-    isRecordedAsSettled = false;
+    readonly startedAt = performance.now();
+    /** As this process has last written it. */
+    record: ProcessRecord | undefined;
+    readonly era = createStoreEra();
 
-    constructor(readonly name: string, random: SeededRandom) {
+    constructor(readonly name: string, random: SeededRandom, isFirstFleetStart: boolean) {
         // Also the lease that is granted.
         const call = async () => {
             if (!this.storeAnswers) {
                 throw new TypeError("the store does not answer");
             }
-            return { id: 1, era: 0 };
+            return { id: 1, era: this.era.current };
         };
         const commit = async ({ writes }: ConditionalWrite) => {
             await call();
             const record = writes.find(({ key }) => key.startsWith("processes/"));
-            this.isRecordedAsSettled = record !== undefined && decodeProcessRecord(record.value)!.settled;
+            this.record = record === undefined ? this.record : decodeProcessRecord(record.value);
             return true;
         };
         const store = {
@@ -54,11 +59,12 @@
         } as unknown as MetadataStore;
         this.directory = new RouterDirectory({
             store,
-            era: createStoreEra(),
+            era: this.era,
             keys: { routerPrefix: "", processPrefix: "processes/", fleetStarted: "started" },
             ownName: name,
             ownAddress: addressOf(name),
             settlingMilliseconds: windowMilliseconds,
+            mayBeFirstFleetStart: isFirstFleetStart,
             configurationVersion: () => 1,
             random,
             logger: new SilentLogger(),
@@ -76,6 +82,12 @@
 
 const addressOf = (name: string): SocketAddress => ({ host: name, port: 1 });
 
+interface StoreCopy {
+    readonly registered: ReadonlyMap<string, number>;
+    readonly records: ReadonlyMap<string, ProcessRecord>;
+    readonly hasStarted: boolean;
+}
+
 class SimulatedFleet {
     private readonly processes = new Map<string, RouterProcess>();
     /** Names in the store, with the monotonic time until which their leases last without a renewal. */
@@ -85,17 +97,18 @@
     private readonly cutOff = new Map<string, number>();
     private leaders: string[] = [];
     private storeSilentSteps = 0;
-    private readonly startedAt = performance.now();
     private hasStarted = false;
-    /** Routers whose record in the store says that their process had settled. */
-    private readonly settled = new Set<string>();
+    /** Records in the store of the routers' processes. */
+    private readonly records = new Map<string, ProcessRecord>();
+    private era = 1;
+    private readonly copies: StoreCopy[] = [];
     private nextName = 0;
     private readonly requests: number[] = [];
     private readonly retries: number[] = [];
     private demand = 0;
 
     constructor(private readonly random: SeededRandom, routers: number) {
-        Array.from({ length: routers }).forEach(() => this.addRouter());
+        Array.from({ length: routers }).forEach(() => this.addRouter(true));
     }
 
     async step(number: number): Promise<void> {
@@ -134,13 +147,13 @@
         return [...this.processes.keys()];
     }
 
-    private addRouter(): void {
-        this.start(`router-${this.nextName++}`);
+    private addRouter(isFirstFleetStart = false): void {
+        this.start(`router-${this.nextName++}`, isFirstFleetStart);
     }
 
-    private start(name: string): void {
+    private start(name: string, isFirstFleetStart = false): void {
         void this.processes.get(name)?.directory.stop();
-        this.processes.set(name, new RouterProcess(name, this.random));
+        this.processes.set(name, new RouterProcess(name, this.random, isFirstFleetStart));
         this.leaders = this.leaders.filter(leader => leader !== name);
     }
 
@@ -163,7 +176,17 @@
         }
         if (this.chance(0.01)) {
             this.registered.clear();
-            this.settled.clear();
+            this.records.clear();
+        }
+        if (this.storeSilentSteps === 0 && this.chance(0.05)) {
+            this.copies.push({
+                registered: new Map(this.registered),
+                records: new Map(this.records),
+                hasStarted: this.hasStarted,
+            });
+        }
+        if (this.copies.length > 0 && this.chance(0.01)) {
+            this.returnFromCopy();
         }
         if (this.chance(0.01)) {
             this.cutOff.set(this.pick(this.names), this.chance(0.3) ? 400 : 40);
@@ -182,6 +205,20 @@
         }
     }
 
+    /** The store is away for a moment, and comes back from a copy some seconds old. */
+    private returnFromCopy(): void {
+        const { registered, records, hasStarted } = this.copies.slice(-4)[0]!;
+        this.copies.length = 0;
+        this.registered.clear();
+        this.records.clear();
+        const now = performance.now();
+        [...registered.keys()].forEach(name => this.registered.set(name, now + 12_000));
+        records.forEach((record, name) => this.records.set(name, record));
+        this.hasStarted = hasStarted;
+        this.era++;
+        this.storeSilentSteps = 3;
+    }
+
     private reachesStore(name: string): boolean {
         return this.storeSilentSteps === 0 && !this.cutOff.has(name) && !this.paused.has(name);
     }
@@ -189,30 +226,31 @@
     private updateRegistrations(): void {
         const now = performance.now();
         const list = () => new Map([...this.registered.keys()].map(name => [name, addressOf(name)] as const));
-        this.hasStarted ||= now > this.startedAt;
         [...this.registered].filter(([, endsAt]) => endsAt < now).forEach(([name]) => this.registered.delete(name));
         for (const [name, process] of this.processes) {
             process.storeAnswers = this.reachesStore(name);
             if (process.storeAnswers) {
-                const byRouter = new Map(
-                    [...this.settled].map(settledName =>
-                        [settledName, { settled: true, era: 0, configurationVersion: 1 }] as const
-                    ),
-                );
+                const isNewEra = process.era.stated !== undefined && process.era.stated !== this.era;
+                process.era.observe(this.era);
+                if (isNewEra) {
+                    process.directory.handleNewEra();
+                }
                 process.directory.replaceAll(
                     list(),
-                    { fleetHasStarted: this.hasStarted, byRouter },
-                    ReadContext.continuous,
+                    { fleetHasStarted: this.hasStarted, byRouter: this.records },
+                    isNewEra ? ReadContext.newEra : ReadContext.continuous,
                 );
+                if ([...this.processes.values()].some(other => now - other.startedAt > startTogetherMilliseconds)) {
+                    // The others answer the question of a router that starts.
+                    process.directory.handleRunningFleet();
+                }
                 this.registered.set(name, now + 12_000);
             }
         }
-        for (const [name, process] of this.processes) {
-            if (process.storeAnswers && process.isRecordedAsSettled) {
-                this.settled.add(name);
-            }
-            else if (process.storeAnswers) {
-                this.settled.delete(name);
+        for (const [name, { storeAnswers, record }] of this.processes) {
+            if (storeAnswers && record?.era === this.era) {
+                this.records.set(name, record);
+                this.hasStarted = true;
             }
         }
     }
--- a/test/process/gateway/router-directory.test.ts
+++ b/test/process/gateway/router-directory.test.ts
@@ -40,6 +40,12 @@
     commitMilliseconds = 0;
     storeAnswers = true;
     writes = [];
+    directory = createDirectory(true);
+    await directory.start();
+});
+afterEach(() => directory.stop());
+
+function createDirectory(mayBeFirstFleetStart: boolean): RouterDirectory {
     const call = async () => {
         if (!storeAnswers) {
             throw new TypeError("the store does not answer");
@@ -59,20 +65,19 @@
     };
     const revokeLease = async ({ id }: StoreLease) => void revoked.push(id);
     const store = { grantLease: call, renewLease, revokeLease, commit } as unknown as MetadataStore;
-    directory = new RouterDirectory({
+    return new RouterDirectory({
         store,
         era,
         keys: { routerPrefix: "routers/", processPrefix: "processes/", fleetStarted: "started" },
         ownName: "own",
         ownAddress: address,
         settlingMilliseconds: windowMilliseconds,
+        mayBeFirstFleetStart,
         configurationVersion: () => 7,
         random: new SeededRandom(1),
         logger: new SilentLogger(),
     });
-    await directory.start();
-});
-afterEach(() => directory.stop());
+}
 
 // A router that did not know the others yet took all of the budget for itself.
 test("nobody is counted before the routers that start together are on the list, and this router registers once it is read", async () => {
@@ -214,3 +219,9 @@
     directory.handleRunningFleet();
     expect(directory.formerProcess).toBe(FormerProcess.unknown);
 });
+
+test("a process that the platform does not start for the first time is not the fleet's first, whatever the store says", () => {
+    const later = createDirectory(false);
+    later.replaceAll(routers(), first, ReadContext.continuous);
+    expect(later.formerProcess).toBe(FormerProcess.unknown);
+});
--- a/test/process/gateway/store-dispatcher.test.ts
+++ b/test/process/gateway/store-dispatcher.test.ts
@@ -104,6 +104,7 @@
         ownName: "own",
         ownAddress: { host: "10.0.0.9", port: 1 },
         settlingMilliseconds: 10_000,
+        mayBeFirstFleetStart: true,
         configurationVersion: () => 0,
         random: new SeededRandom(1),
         logger,
--- a/test/process/gateway/store-drill-of-a-fleet.test.ts
+++ b/test/process/gateway/store-drill-of-a-fleet.test.ts
@@ -103,6 +103,7 @@
             ownName: name,
             ownAddress: fleet.addressOf(name),
             settlingMilliseconds: 10_000,
+            mayBeFirstFleetStart: true,
             configurationVersion: () => configuration.current?.version ?? 0,
             random,
             logger,
