--- a/test/support/router-process.ts
+++ b/test/support/router-process.ts
@@ -78,6 +78,8 @@
 
 export class RouterProcess {
     output = "";
+    /** How often the process has been started. */
+    starts = 0;
     private child: ChildProcess | undefined;
 
     constructor(
@@ -88,6 +90,7 @@
     ) {}
 
     start(): void {
+        this.starts++;
         this.child = spawn(process.execPath, [...deployedRuntimeOptions(), this.program], {
             env: { ...process.env, NODE_OPTIONS: "", POMELOSTALL_SETTINGS: this.settingsFile },
             stdio: ["ignore", "pipe", "pipe"],
