Let nobody in by a configuration whose list of customers is empty

Test: "lets nobody in if its list of customers is empty, and everybody if it has none" waited in vain for a 401 before.

--- a/src/domain/gateway/configuration.ts
+++ b/src/domain/gateway/configuration.ts
@@ -120,6 +120,6 @@
     readonly routes: readonly GatewayRoute[];
     readonly services: ReadonlyMap<string, GatewayService>;
     readonly limits: CallerLimits;
-    /** Empty if callers need no API keys. */
-    readonly customers: readonly GatewayCustomer[];
+    /** Undefined if callers need no API keys; empty if no key is valid. */
+    readonly customers: readonly GatewayCustomer[] | undefined;
 }
--- a/src/version/gateway/gateway-configuration-index.ts
+++ b/src/version/gateway/gateway-configuration-index.ts
@@ -14,7 +14,7 @@
         for (const routes of this.routesByHost.values()) {
             routes.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length);
         }
-        for (const customer of configuration.customers) {
+        for (const customer of configuration.customers ?? []) {
             customer.keys.forEach(key => this.customersByKey.set(key, customer));
         }
     }
@@ -25,7 +25,7 @@
 
     /** Whether callers must present an API key on routes that are not public. */
     get requiresKeys(): boolean {
-        return this.configuration.customers.length > 0;
+        return this.configuration.customers !== undefined;
     }
 
     /** Returns the route of the host with the longest matching path prefix. The host may include a port. */
--- a/test/platform/gateway.test.ts
+++ b/test/platform/gateway.test.ts
@@ -119,6 +119,22 @@
         await fixture.waitUntil(async () => (await fixture.send("GET", "/look/1")).status === 401);
     });
 
+    // Once the last customer was gone, everybody could send, without a key.
+    test("lets nobody in if its list of customers is empty, and everybody if it has none", async () => {
+        const app = new StandInBackendServer("app-1", "app");
+        fixture = await GatewayFixture.start([app], 1);
+        await fixture.waitUntil(async () => (await fixture.send("GET", "/look/1")).status === 200);
+        fixture.publish(2, { tenants: [] });
+        await fixture.waitUntil(async () => (await fixture.send("GET", "/look/1")).status === 401);
+        const before = app.received.length;
+        expect(await fixture.send("GET", "/look/1", { Authorization: "" })).toMatchObject({ status: 401 });
+        expect(app.received.length).toBe(before);
+        fixture.publish(3, { tenants: undefined });
+        await fixture.waitUntil(async () =>
+            (await fixture.send("GET", "/look/1", { Authorization: "" })).status === 200
+        );
+    });
+
     test("is updated after the store has compacted its history, and after a store outage", async () => {
         fixture = await GatewayFixture.start([new StandInBackendServer("app-1", "app")], 1);
         await fixture.waitUntil(async () => (await fixture.send("GET", "/look/1")).status === 200);
