--- /dev/null
+++ b/review/support-3/streams.mjs
@@ -0,0 +1,57 @@
+/**
+ * Callers of streams, in a process of their own: requests come at a steady rate, whatever becomes of the earlier ones. They read
+ * everything, and leave at their time limit or after a gap of two seconds. Tells its parent of each answer.
+ */
+import { request } from "node:http";
+
+const { host, port, perSecond, name } = JSON.parse(process.argv[2]);
+const timeLimitMilliseconds = 20_000;
+const longestGapMilliseconds = 2_000;
+let count = 0;
+
+function send() {
+    const id = `${name}${count++}`;
+    const sentAt = Date.now();
+    let bytes = 0;
+    let isOver = false;
+    const finish = status => {
+        if (!isOver) {
+            isOver = true;
+            clearTimeout(timer);
+            process.send?.({ id, status, bytes, milliseconds: Date.now() - sentAt });
+        }
+    };
+    const sent = request({
+        agent: false,
+        host,
+        port,
+        method: "POST",
+        path: "/report/1",
+        headers: {
+            "Host": "yard.example",
+            "Authorization": "Bearer key-1",
+            "X-Attempt-Id": id,
+            "X-Model": "m",
+            "X-Token-Counts": "760,24",
+            "X-Prompt-Prefix": `aa01:40,${(count % 9).toString(16)}b:200,${count.toString(16)}c:500`,
+            "X-Deadline-Ms": String(timeLimitMilliseconds),
+        },
+    }, response => {
+        response.on("data", chunk => {
+            bytes += chunk.length;
+        });
+        response.on("error", () => finish(0));
+        response.on("end", () => finish(response.complete ? response.statusCode : 0));
+    });
+    const leave = () => {
+        finish("left");
+        sent.destroy();
+    };
+    const timer = setTimeout(leave, timeLimitMilliseconds);
+    sent.setTimeout(longestGapMilliseconds, leave);
+    sent.on("error", () => finish(0));
+    sent.end("prompt");
+}
+
+setInterval(send, 1_000 / perSecond);
+process.on("disconnect", () => process.exit(0));
