Review: streams without a length pass as whole ones if their engine is killed

Promise: MIXED, an answer that ends early must not look complete; ORDER, no stream ends as complete before its last piece.

Order of events: an engine sends a stream that ends with its connection, and is killed (SIGKILL) between two events. The operating system ends the connection in order. The router ends the caller's stream as complete, and doesn't resume it on another path. The case had the same for answers of a plain service, which stay its first part.

--- a/review/support-3/engine.mjs
+++ b/review/support-3/engine.mjs
@@ -4,8 +4,8 @@
  * engine that is gone stalls for `stall_ms`; then it is cut off or, if it has not begun, refused.
  *
  * The last engine of a path returns the token. If the prompt has the part that crashes engines, the one that `crashingStage` names
- * ends as it begins to write. With `poured`, the engine answers with these bytes without end. Tells its parent of its layers and of each
- * request.
+ * ends as it begins to write. With `poured`, the engine answers with these bytes without end. With `unframed`, its streams have neither a
+ * length nor chunks. Tells its parent of its layers and of each request.
  */
 import { Agent, createServer, request as sendRequest } from "node:http";
 
@@ -147,6 +147,10 @@
         }
         if (!response.headersSent) {
             tell({ kind: "began", requestId });
+            if (options.unframed) {
+                response.useChunkedEncodingByDefault = false;
+                response.shouldKeepAlive = false;
+            }
             response.writeHead(200, {
                 "Content-Type": "text/event-stream",
                 "X-Attempt-Id": requestId,
--- a/review/support-3/streams.mjs
+++ b/review/support-3/streams.mjs
@@ -1,7 +1,7 @@
 /**
  * Callers of streams, in a process of their own: requests come at a steady rate, whatever becomes of the earlier ones. They read
- * everything, and leave at their time limit or after a gap of two seconds. Tells its parent of each answer, and of how many events of it
- * had no ID.
+ * everything, and leave at their time limit or after a gap of two seconds. Tells its parent of each answer: of its events, and
+ * how many of them had no ID.
  */
 import { request } from "node:http";
 
@@ -14,6 +14,7 @@
     const id = `${name}${count++}`;
     const sentAt = Date.now();
     let bytes = 0;
+    let events = 0;
     let eventsWithoutId = 0;
     let rest = "";
     /** Of the head; that of an answer that never ends stands here only. */
@@ -24,7 +25,16 @@
         if (!isOver) {
             isOver = true;
             clearTimeout(timer);
-            process.send?.({ id, status, bytes, eventsWithoutId, head, hasSeal, milliseconds: Date.now() - sentAt });
+            process.send?.({
+                id,
+                status,
+                bytes,
+                events,
+                eventsWithoutId,
+                head,
+                hasSeal,
+                milliseconds: Date.now() - sentAt,
+            });
         }
     };
     const sent = request({
@@ -45,9 +55,10 @@
     }, response => {
         response.on("data", chunk => {
             bytes += chunk.length;
-            const events = (rest + chunk.toString("latin1")).split("\n\n");
-            rest = events.pop();
-            eventsWithoutId += events.filter(event => !/^id: \d+$/m.test(event)).length;
+            const blocks = (rest + chunk.toString("latin1")).split("\n\n");
+            rest = blocks.pop();
+            events += blocks.length;
+            eventsWithoutId += blocks.filter(event => !/^id: \d+$/m.test(event)).length;
         });
         head = response.statusCode;
         hasSeal = response.headers["x-replica-seal"] !== undefined;
